Rename to tallypin; hashes and the settings object stand once, in the root crate

Seen: the adapter held the hash of names and the reading of the settings; a router on sockets needs the same.

--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router around the decision module.
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,3 @@
+//! The tallypin program.
+
+fn main() {}
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts lilacrudder balancers on the bench's text wire: standard input to standard output, one
+//! Hosts tallypin balancers on the bench's text wire: standard input to standard output, one
 //! [`Balancer`] per instance, nothing shared among them.
 
 mod wire;
@@ -8,8 +8,8 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use lilacrudder::api::{Action, Event, Nanos};
-use lilacrudder::Balancer;
+use tallypin::api::{Action, Event, Nanos};
+use tallypin::Balancer;
 use wire::{Fields, Malformed, Names};
 
 struct Instance {
@@ -127,7 +127,7 @@
     match run() {
         Ok(code) => code,
         Err(e) => {
-            eprintln!("lilacrudder-simhost: {e}");
+            eprintln!("tallypin-simhost: {e}");
             ExitCode::from(2)
         }
     }
@@ -160,7 +160,7 @@
             match e.who {
                 Some(who) => host.broken(who, &text),
                 None => {
-                    eprintln!("lilacrudder-simhost: {text}");
+                    eprintln!("tallypin-simhost: {text}");
                     return Ok(ExitCode::from(2));
                 }
             }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -2,9 +2,9 @@
 
 use std::fmt::Write as _;
 
-use lilacrudder::api::*;
 use rustc_hash::FxHashMap;
-use serde::Deserialize;
+use tallypin::api::*;
+use tallypin::{names, settings};
 
 /// What is wrong with a line: the field, and why.
 #[derive(Debug, Clone, PartialEq)]
@@ -123,17 +123,6 @@
     }
 }
 
-/// A 64-bit hash of a name, the same in every process.
-fn hash(text: &str) -> u64 {
-    // FNV-1a, then a final mix so that the low bits are as good as the high ones.
-    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
-    for b in text.bytes() {
-        h = (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    h ^= h >> 32;
-    h.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1
-}
-
 /// The replicas' names as an instance has heard them.
 #[derive(Default)]
 pub struct Names {
@@ -142,7 +131,7 @@
 
 impl Names {
     fn id(&mut self, name: &str) -> ReplicaId {
-        let id = ReplicaId(hash(name));
+        let id = names::node(name);
         self.by_id.entry(id).or_insert_with(|| name.to_string());
         id
     }
@@ -198,8 +187,8 @@
             left: f.number("LeftNs")?,
             prompt_tokens: f.tokens("NPrompt")?,
             prefix_tokens: f.tokens("NPrefix")?,
-            session: f.get("Resource").map(|s| SessionKey(hash(s))),
-            prefix: f.get("PrefixId").map(|s| PrefixKey(hash(s))),
+            session: f.get("Resource").map(|s| names::session(s.as_bytes())),
+            prefix: f.get("PrefixId").map(|s| names::beginning(s.as_bytes())),
             returned: f.flag("Returned")?,
         }),
         "STREAMING" => Event::FirstToken {
@@ -279,164 +268,11 @@
     written.expect("writing to a string");
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-struct Profile {
-    goal_time_ns: u64,
-    effect: String,
-    group: String,
-    window_ns: u64,
-    worth: f64,
-}
-
-impl Default for Profile {
-    fn default() -> Self {
-        Profile {
-            goal_time_ns: 0,
-            effect: "side_effect".into(),
-            group: "cell".into(),
-            window_ns: 0,
-            worth: 1.0,
-        }
-    }
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct TenantInfo {
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-struct Limits {
-    cancel: bool,
-    max_retry_after_ns: u64,
-    parallel_tries: bool,
-    peers: bool,
-    probes: bool,
-    retry_after: bool,
-    try_limit: u32,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Limits {
-            cancel: false,
-            max_retry_after_ns: 1_000_000_000,
-            parallel_tries: false,
-            peers: false,
-            probes: false,
-            retry_after: false,
-            try_limit: 1,
-        }
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-struct Rules {
-    cold_ns: u64,
-    cold_share: f64,
-    must_ask_in_ns: u64,
-}
-
-impl Default for Rules {
-    fn default() -> Self {
-        Rules { cold_ns: 30_000_000_000, cold_share: 0.1, must_ask_in_ns: 10_000_000_000 }
-    }
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct FamilyInfo {
-    #[serde(rename = "AimUsPer1000PromptTokens")]
-    aim_us_per_1000_prompt_tokens: Vec<f64>,
-    token_aim_ns: Vec<u64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct ReportInfo {
-    fields: Vec<String>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Prices {
-    cross_zone: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct ProfileData {
-    discovery: String,
-    family_info: FamilyInfo,
-    limits: Limits,
-    me: u32,
-    my_zone: u32,
-    prices: Prices,
-    profiles: Vec<Profile>,
-    replicas_of_me: u32,
-    report: ReportInfo,
-    rules: Rules,
-    tenants: Vec<TenantInfo>,
-}
-
 /// What an instance is born with: its seed and settings.
 pub fn parse_born(f: &Fields) -> Result<(u64, Settings), Malformed> {
     let seed = f.number("Nonce64")?;
     let text = f.text("ProfileData").ok_or_else(|| f.bad("ProfileData", "missing"))?;
-    let d: ProfileData = serde_json::from_str(text).map_err(|e| f.bad("ProfileData", e.to_string()))?;
-    let class = |(i, p): (usize, &Profile)| {
-        let effect = match p.effect.as_str() {
-            "pure" => Effect::Pure,
-            "token" => {
-                let group = match p.group.as_str() {
-                    "all" => Group::All,
-                    "zone" => Group::Zone,
-                    _ => Group::Cell,
-                };
-                Effect::Token { group, window: p.window_ns }
-            }
-            _ => Effect::SideEffect,
-        };
-        let per_1000 = d.family_info.aim_us_per_1000_prompt_tokens.get(i).copied().unwrap_or(0.0);
-        Class {
-            aim: p.goal_time_ns,
-            aim_per_1000_tokens: (per_1000.max(0.0) * 1000.0) as Nanos,
-            token_aim: d.family_info.token_aim_ns.get(i).copied().unwrap_or(0),
-            effect,
-            worth: p.worth,
-        }
-    };
-    let field = |name: &String| match name.as_str() {
-        "q" => LoadField::Queue,
-        "busy" => LoadField::Busy,
-        "x1" => LoadField::UnreadThousands,
-        _ => LoadField::Other,
-    };
-    let settings = Settings {
-        me: PeerId(d.me),
-        gateways: d.replicas_of_me,
-        zone: ZoneId(d.my_zone),
-        tenants: d.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
-        classes: d.profiles.iter().enumerate().map(class).collect(),
-        try_limit: d.limits.try_limit,
-        parallel_tries: d.limits.parallel_tries,
-        cancel: d.limits.cancel,
-        peers: d.limits.peers,
-        probes: d.limits.probes,
-        max_retry_after: if d.limits.retry_after { d.limits.max_retry_after_ns } else { 0 },
-        list: match d.discovery.as_str() {
-            "on_request" => ListMode::Asked { must_ask_in: d.rules.must_ask_in_ns },
-            _ => ListMode::Pushed,
-        },
-        report: d.report.fields.iter().map(field).collect(),
-        cold_share: d.rules.cold_share,
-        cold: d.rules.cold_ns,
-        cross_zone_price: d.prices.cross_zone,
-    };
+    let settings = settings::parse(text).map_err(|e| f.bad("ProfileData", e.to_string()))?.decisions;
     Ok((seed, settings))
 }
 
--- a/simhost/tests/pipe.rs
+++ b/simhost/tests/pipe.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacrudder-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tallypin-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod api;
 pub mod choice;
+pub mod names;
 pub mod report;
+pub mod settings;
 mod state;
 mod stats;
 
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,230 @@
+//! The settings object of a deployment: what the simulator's first message and a real router's
+//! configuration both hold, as JSON. Keys that are not known are skipped; what is absent gets the
+//! safe default.
+
+use serde::Deserialize;
+
+use crate::api::*;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Profile {
+    name: String,
+    goal_time_ns: u64,
+    deadline_ns: u64,
+    effect: String,
+    group: String,
+    window_ns: u64,
+    worth: f64,
+}
+
+impl Default for Profile {
+    fn default() -> Self {
+        Profile {
+            name: String::new(),
+            goal_time_ns: 0,
+            deadline_ns: 0,
+            effect: "side_effect".into(),
+            group: "cell".into(),
+            window_ns: 0,
+            worth: 1.0,
+        }
+    }
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct TenantInfo {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Limits {
+    cancel: bool,
+    connect_timeout_ns: u64,
+    idle_close_ns: u64,
+    max_retry_after_ns: u64,
+    most_held: usize,
+    parallel_tries: bool,
+    peers: bool,
+    probes: bool,
+    retry_after: bool,
+    try_limit: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            cancel: false,
+            connect_timeout_ns: SECOND / 4,
+            idle_close_ns: 5 * SECOND,
+            max_retry_after_ns: SECOND,
+            most_held: 10_000,
+            parallel_tries: false,
+            peers: false,
+            probes: false,
+            retry_after: false,
+            try_limit: 1,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Rules {
+    answer_slack_ns: u64,
+    cold_ns: u64,
+    cold_share: f64,
+    must_ask_in_ns: u64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules { answer_slack_ns: 0, cold_ns: 30 * SECOND, cold_share: 0.1, must_ask_in_ns: 10 * SECOND }
+    }
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct FamilyInfo {
+    #[serde(rename = "AimUsPer1000PromptTokens")]
+    aim_us_per_1000_prompt_tokens: Vec<f64>,
+    token_aim_ns: Vec<u64>,
+    resume: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct ReportInfo {
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Prices {
+    cross_zone: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Object {
+    discovery: String,
+    family_info: FamilyInfo,
+    kinds: Vec<String>,
+    limits: Limits,
+    me: u32,
+    my_zone: u32,
+    prices: Prices,
+    profiles: Vec<Profile>,
+    replicas_of_me: u32,
+    report: ReportInfo,
+    rules: Rules,
+    tenants: Vec<TenantInfo>,
+    zones: Vec<String>,
+}
+
+/// A request class as clients name it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClassName {
+    /// Its name.
+    pub name: String,
+    /// How long its clients wait for a first token at the most.
+    pub deadline: Nanos,
+}
+
+/// The settings of a deployment: what decisions go by, and what only a router's sockets need.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Deployment {
+    /// What the decision module is told.
+    pub decisions: Settings,
+    /// The classes, in the order of [`Settings::classes`].
+    pub classes: Vec<ClassName>,
+    /// The partners' names, in the order of [`Settings::tenants`].
+    pub partners: Vec<String>,
+    /// The names of zones.
+    pub zones: Vec<String>,
+    /// The names of kinds of machines.
+    pub kinds: Vec<String>,
+    /// The names of the values in a load report, in the order of [`Settings::report`].
+    pub report: Vec<String>,
+    /// A connection that is not up by then counts as refused.
+    pub connect_timeout: Nanos,
+    /// Model nodes close a connection idle for so long.
+    pub idle_close: Nanos,
+    /// The most open requests.
+    pub most_held: usize,
+    /// So long after a client's deadline a final answer still counts.
+    pub answer_slack: Nanos,
+    /// Clients whose stream broke come back for the rest.
+    pub resume: bool,
+}
+
+/// Reads the object; an error names the place and what is wrong there.
+pub fn parse(text: &str) -> Result<Deployment, serde_json::Error> {
+    let d: Object = serde_json::from_str(text)?;
+    let class = |(i, p): (usize, &Profile)| {
+        let effect = match p.effect.as_str() {
+            "pure" => Effect::Pure,
+            "token" => {
+                let group = match p.group.as_str() {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    _ => Group::Cell,
+                };
+                Effect::Token { group, window: p.window_ns }
+            }
+            _ => Effect::SideEffect,
+        };
+        let per_1000 = d.family_info.aim_us_per_1000_prompt_tokens.get(i).copied().unwrap_or(0.0);
+        Class {
+            aim: p.goal_time_ns,
+            aim_per_1000_tokens: (per_1000.max(0.0) * 1000.0) as Nanos,
+            token_aim: d.family_info.token_aim_ns.get(i).copied().unwrap_or(0),
+            effect,
+            worth: p.worth,
+        }
+    };
+    let field = |name: &String| match name.as_str() {
+        "q" => LoadField::Queue,
+        "busy" => LoadField::Busy,
+        "x1" => LoadField::UnreadThousands,
+        _ => LoadField::Other,
+    };
+    let decisions = Settings {
+        me: PeerId(d.me),
+        gateways: d.replicas_of_me,
+        zone: ZoneId(d.my_zone),
+        tenants: d.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+        classes: d.profiles.iter().enumerate().map(class).collect(),
+        try_limit: d.limits.try_limit,
+        parallel_tries: d.limits.parallel_tries,
+        cancel: d.limits.cancel,
+        peers: d.limits.peers,
+        probes: d.limits.probes,
+        max_retry_after: if d.limits.retry_after { d.limits.max_retry_after_ns } else { 0 },
+        list: match d.discovery.as_str() {
+            "on_request" => ListMode::Asked { must_ask_in: d.rules.must_ask_in_ns },
+            _ => ListMode::Pushed,
+        },
+        report: d.report.fields.iter().map(field).collect(),
+        cold_share: d.rules.cold_share,
+        cold: d.rules.cold_ns,
+        cross_zone_price: d.prices.cross_zone,
+    };
+    let class = |p: Profile| ClassName { name: p.name, deadline: p.deadline_ns };
+    Ok(Deployment {
+        decisions,
+        classes: d.profiles.into_iter().map(class).collect(),
+        partners: d.tenants.into_iter().map(|t| t.name).collect(),
+        zones: d.zones,
+        kinds: d.kinds,
+        report: d.report.fields,
+        connect_timeout: d.limits.connect_timeout_ns,
+        idle_close: d.limits.idle_close_ns,
+        most_held: d.limits.most_held,
+        answer_slack: d.rules.answer_slack_ns,
+        resume: d.family_info.resume,
+    })
+}
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::*;
-use lilacrudder::api::*;
-use lilacrudder::report;
+use tallypin::api::*;
+use tallypin::report;
 
 fn pair(quota: f64) -> Vec<World> {
     (0..2)
@@ -208,7 +208,7 @@
     let bad = |change: &dyn Fn(&mut Settings)| {
         let mut set = settings(2, 0);
         change(&mut set);
-        lilacrudder::Balancer::new(set, 1).err()
+        tallypin::Balancer::new(set, 1).err()
     };
     assert_eq!(bad(&|s| s.classes.clear()), Some(SettingsError::NoClasses));
     assert_eq!(bad(&|s| s.tenants[0].quota_per_s = 0.0), Some(SettingsError::BadNumber("quota_per_s")));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use lilacrudder::api::*;
-use lilacrudder::Balancer;
+use tallypin::api::*;
+use tallypin::Balancer;
 
 pub const MS: Nanos = 1_000_000;
 
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use lilacrudder::api::*;
+use tallypin::api::*;
 
 fn plain(id: u64) -> Request {
     Request { prefix: None, session: None, prefix_tokens: 0, ..request(id) }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,7 @@
 
 use common::*;
 use fastrand::Rng;
-use lilacrudder::api::*;
+use tallypin::api::*;
 
 const OUTCOMES: [Outcome; 7] = [
     Outcome::Done,
