--- /dev/null
+++ b/router/src/core.rs
@@ -0,0 +1,414 @@
+//! The core: it owns the decision module, the open requests, their attempts and all timers, and turns what
+//! happened into what is to be done ([`Order`]). It knows no HTTP, no socket and no event name, and the
+//! time is handed in. It is the one place that gives final answers, so each request gets exactly one.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use rustc_hash::FxHashMap;
+use tallypin::api::*;
+use tallypin::Balancer;
+
+/// A request as a front hands it in.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Ask {
+    /// Its class.
+    pub class: ClassId,
+    /// The partner it comes from.
+    pub partner: TenantId,
+    /// How long its client still waits for a first token.
+    pub left: Nanos,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// How many of them are a shared beginning.
+    pub beginning_tokens: u32,
+    /// The session.
+    pub session: Option<SessionKey>,
+    /// The shared beginning.
+    pub beginning: Option<PrefixKey>,
+    /// The client asks for the rest of a broken stream.
+    pub returned: bool,
+}
+
+/// How an attempt ended, as the connection saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AttemptEnd {
+    /// What came of it.
+    pub outcome: Outcome,
+    /// Prompt tokens that the model node still held.
+    pub kept: Option<u32>,
+    /// The model node's load report.
+    pub load: Vec<f64>,
+}
+
+impl From<Outcome> for AttemptEnd {
+    fn from(outcome: Outcome) -> Self {
+        AttemptEnd { outcome, kept: None, load: Vec::new() }
+    }
+}
+
+/// The final answer to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FinalAnswer {
+    /// The whole stream was passed on.
+    Served,
+    /// The stream broke after it had begun.
+    Broken,
+    /// Refused: trying again is harmless, best after so long (0: no advice).
+    Refused(Nanos),
+    /// Failed; in time, or for want of time.
+    Failed {
+        /// The client's deadline had come.
+        late: bool,
+    },
+}
+
+/// What is to be done, in this order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    /// Begin an attempt at a model node; the client waits for so long.
+    Begin(RequestId, u32, ReplicaId, Nanos),
+    /// Close an attempt; its outcome is settled.
+    Close(RequestId, u32),
+    /// Give the final answer. For begun streams this says how it ended.
+    Answer(RequestId, FinalAnswer),
+    /// Probe a model node.
+    Probe(ReplicaId),
+    /// Watch the node list.
+    Watch,
+    /// Tell the other routers.
+    Tell(Vec<u8>),
+}
+
+/// Counts of what became of requests and attempts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tallies {
+    /// Requests taken, and how many asked for the rest of a stream.
+    pub taken: u64,
+    /// Those that asked for the rest of a broken stream.
+    pub returned: u64,
+    /// Final answers: whole streams.
+    pub served: u64,
+    /// Final answers: streams that broke after they had begun.
+    pub broken: u64,
+    /// Final answers: refusals.
+    pub refused: u64,
+    /// Final answers: failures.
+    pub failed: u64,
+    /// Clients that left first.
+    pub left: u64,
+    /// Outcomes of attempts, in the order of [`TALLIED`].
+    pub outcomes: [u64; 8],
+}
+
+/// The outcomes in the order in which [`Tallies::outcomes`] counts them.
+pub const TALLIED: [Outcome; 8] = [
+    Outcome::Done,
+    Outcome::Error,
+    Outcome::Busy,
+    Outcome::TimedOut,
+    Outcome::Refused,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Skipped,
+];
+
+struct Attempt {
+    begun: Nanos,
+    settled: bool,
+}
+
+struct Open {
+    deadline: Nanos,
+    attempts: Vec<Attempt>,
+    /// The attempt whose stream the client has.
+    bound: Option<u32>,
+    answered: bool,
+}
+
+impl Open {
+    fn out(&self, attempt: u32) -> Option<&Attempt> {
+        self.attempts.get(attempt as usize).filter(|a| !a.settled)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestId, u32),
+    Deadline(RequestId),
+}
+
+/// The core of one router.
+pub struct Core {
+    module: Balancer,
+    try_limit: u32,
+    slack: Nanos,
+    open: FxHashMap<RequestId, Open>,
+    due: BinaryHeap<Reverse<(Nanos, Due)>>,
+    last_id: u64,
+    orders: Vec<Order>,
+    actions: Vec<Action>,
+    /// What the core itself has to tell the module.
+    news: VecDeque<Event>,
+    tallies: Tallies,
+}
+
+impl Core {
+    /// A core that decides by a module; it answers `slack` after a deadline if the module has not.
+    pub fn new(settings: Settings, seed: u64, slack: Nanos) -> Result<Core, SettingsError> {
+        let try_limit = settings.try_limit;
+        Ok(Core {
+            module: Balancer::new(settings, seed)?,
+            try_limit,
+            slack,
+            open: FxHashMap::default(),
+            due: BinaryHeap::new(),
+            last_id: 0,
+            orders: Vec::new(),
+            actions: Vec::new(),
+            news: VecDeque::new(),
+            tallies: Tallies::default(),
+        })
+    }
+
+    /// Takes a request.
+    pub fn take(&mut self, now: Nanos, ask: Ask) -> RequestId {
+        self.last_id += 1;
+        let id = RequestId(self.last_id);
+        let deadline = now.saturating_add(ask.left);
+        self.open.insert(id, Open { deadline, attempts: Vec::new(), bound: None, answered: false });
+        self.due.push(Reverse((deadline.saturating_add(self.slack), Due::Deadline(id))));
+        self.tallies.taken += 1;
+        self.tallies.returned += u64::from(ask.returned);
+        self.tell(
+            now,
+            Event::Request(Request {
+                id,
+                class: ask.class,
+                tenant: ask.partner,
+                left: ask.left,
+                prompt_tokens: ask.prompt_tokens,
+                prefix_tokens: ask.beginning_tokens,
+                session: ask.session,
+                prefix: ask.beginning,
+                returned: ask.returned,
+            }),
+        );
+        id
+    }
+
+    /// The first event of an attempt has come. True: the request is bound to it, and its events go to the
+    /// client. False: it came too late and is to be dropped.
+    pub fn started(&mut self, now: Nanos, id: RequestId, attempt: u32) -> bool {
+        let Some(open) = self.open.get_mut(&id) else { return false };
+        let Some(begun) = open.out(attempt).map(|a| a.begun) else { return false };
+        if open.answered || open.bound.is_some() {
+            return false;
+        }
+        open.bound = Some(attempt);
+        let after = now.saturating_sub(begun);
+        self.tell(now, Event::FirstToken { request: id, attempt, after });
+        self.close_attempts(now, id, Some(attempt));
+        self.work_off(now);
+        true
+    }
+
+    /// An attempt has ended; nothing happens if it was settled before.
+    pub fn ended(&mut self, now: Nanos, id: RequestId, attempt: u32, end: AttemptEnd) {
+        let Some(open) = self.open.get(&id) else { return };
+        if open.out(attempt).is_none() {
+            return;
+        }
+        if open.bound == Some(attempt) && !open.answered {
+            let whole = end.outcome == Outcome::Done;
+            self.answer(id, if whole { FinalAnswer::Served } else { FinalAnswer::Broken });
+        }
+        self.settle(now, id, attempt, end);
+        self.work_off(now);
+    }
+
+    /// The client has left; nothing more is owed.
+    pub fn client_left(&mut self, now: Nanos, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+        open.answered = true;
+        self.tallies.left += 1;
+        self.tell(now, Event::ClientGone(id));
+        self.close_attempts(now, id, None);
+        self.work_off(now);
+    }
+
+    /// News of the node list.
+    pub fn list(&mut self, now: Nanos, kind: ListKind, rows: Vec<ReplicaRow>) {
+        self.tell(now, Event::List { kind, rows });
+    }
+
+    /// Another router has said something.
+    pub fn peer(&mut self, now: Nanos, from: PeerId, bytes: Vec<u8>) {
+        self.tell(now, Event::Peer { from, bytes });
+    }
+
+    /// A probe has ended.
+    pub fn probed(&mut self, now: Nanos, node: ReplicaId, end: AttemptEnd) {
+        self.tell(now, Event::Probed { replica: node, outcome: end.outcome, load: end.load });
+    }
+
+    /// Does what has fallen due.
+    pub fn tick(&mut self, now: Nanos) {
+        while let Some(&Reverse((at, due))) = self.due.peek().filter(|Reverse((at, _))| *at <= now) {
+            self.due.pop();
+            match due {
+                Due::Module(token) => self.tell(at.max(now), Event::Timer(token)),
+                Due::Attempt(id, attempt) => {
+                    let Some(open) = self.open.get(&id) else { continue };
+                    if open.bound.is_none() && open.out(attempt).is_some() {
+                        self.orders.push(Order::Close(id, attempt));
+                        self.settle(now, id, attempt, Outcome::TimedOut.into());
+                        self.work_off(now);
+                    }
+                }
+                // Guards the promise of one final answer against a module that holds a request too long.
+                Due::Deadline(id) => {
+                    let Some(open) = self.open.get(&id) else { continue };
+                    if !open.answered && open.bound.is_none() {
+                        self.answer(id, FinalAnswer::Failed { late: true });
+                        self.tell(now, Event::ClientGone(id));
+                        self.close_attempts(now, id, None);
+                        self.work_off(now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// When [`Core::tick`] is wanted next.
+    pub fn next_due(&self) -> Option<Nanos> {
+        self.due.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// What is to be done since the last call.
+    pub fn orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// The counts so far.
+    pub fn tallies(&self) -> &Tallies {
+        &self.tallies
+    }
+
+    /// Requests without a final answer, and attempts not settled.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    fn tell(&mut self, now: Nanos, event: Event) {
+        self.news.push_back(event);
+        self.work_off(now);
+    }
+
+    /// Tells the module all news, and what its actions lead to, until there is none left.
+    fn work_off(&mut self, now: Nanos) {
+        while let Some(event) = self.news.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.module.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Nanos, action: Action) {
+        match action {
+            Action::Send { request, replica, limit } => self.begin(now, request, replica, limit),
+            Action::Refuse { request, retry_after } => {
+                self.answer(request, FinalAnswer::Refused(retry_after));
+                self.close_attempts(now, request, None);
+            }
+            Action::Fail(request) => {
+                let late = self.open.get(&request).is_some_and(|o| now >= o.deadline);
+                self.answer(request, FinalAnswer::Failed { late });
+                self.close_attempts(now, request, None);
+            }
+            Action::Cancel { request, attempt } => {
+                let Some(open) = self.open.get(&request) else { return };
+                if open.bound != Some(attempt) && open.out(attempt).is_some() {
+                    self.orders.push(Order::Close(request, attempt));
+                    self.settle(now, request, attempt, Outcome::Cancelled.into());
+                }
+            }
+            Action::Probe(node) => self.orders.push(Order::Probe(node)),
+            Action::Watch => self.orders.push(Order::Watch),
+            Action::Tell(bytes) => self.orders.push(Order::Tell(bytes)),
+            Action::WakeAt { at, token } => self.due.push(Reverse((at, Due::Module(token)))),
+        }
+    }
+
+    fn begin(&mut self, now: Nanos, id: RequestId, node: ReplicaId, limit: Nanos) {
+        let try_limit = self.try_limit as usize;
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts.len() as u32;
+        open.attempts.push(Attempt { begun: now, settled: false });
+        let over = open.answered || open.bound.is_some();
+        if over || now >= open.deadline || open.attempts.len() > try_limit {
+            return self.settle(now, id, attempt, Outcome::Skipped.into());
+        }
+        let until = match limit {
+            0 => open.deadline,
+            _ => open.deadline.min(now.saturating_add(limit)),
+        };
+        self.due.push(Reverse((until, Due::Attempt(id, attempt))));
+        self.orders.push(Order::Begin(id, attempt, node, open.deadline));
+    }
+
+    /// The one place where a request gets its final answer.
+    fn answer(&mut self, id: RequestId, with: FinalAnswer) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+        open.answered = true;
+        match with {
+            FinalAnswer::Served => self.tallies.served += 1,
+            FinalAnswer::Broken => self.tallies.broken += 1,
+            FinalAnswer::Refused(_) => self.tallies.refused += 1,
+            FinalAnswer::Failed { .. } => self.tallies.failed += 1,
+        }
+        self.orders.push(Order::Answer(id, with));
+        self.forget_if_over(id);
+    }
+
+    /// Notes an attempt's outcome; the module hears of it from `work_off`.
+    fn settle(&mut self, now: Nanos, id: RequestId, attempt: u32, end: AttemptEnd) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| !a.settled) else { return };
+        a.settled = true;
+        if let Some(i) = TALLIED.iter().position(|o| *o == end.outcome) {
+            self.tallies.outcomes[i] += 1;
+        }
+        self.news.push_back(Event::Ended(Ended {
+            request: id,
+            attempt,
+            outcome: end.outcome,
+            after: now.saturating_sub(a.begun),
+            over: open.answered,
+            kept_tokens: (end.outcome == Outcome::Done).then(|| end.kept.unwrap_or(0)),
+            load: end.load,
+        }));
+        self.forget_if_over(id);
+    }
+
+    /// Closes the attempts of a request that are still out.
+    fn close_attempts(&mut self, now: Nanos, id: RequestId, but: Option<u32>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let out = |&n: &u32| Some(n) != but && open.out(n).is_some();
+        let out: Vec<u32> = (0..open.attempts.len() as u32).filter(out).collect();
+        for attempt in out {
+            self.orders.push(Order::Close(id, attempt));
+            self.settle(now, id, attempt, Outcome::Cancelled.into());
+        }
+    }
+
+    fn forget_if_over(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.answered && o.attempts.iter().all(|a| a.settled)) {
+            self.open.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/front/mod.rs
@@ -0,0 +1,315 @@
+//! The fronts: what clients speak, turned into core requests, and outcomes turned back. Here stands what
+//! they share: accepting, reading a request, refusing what is not one.
+
+pub mod platform;
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::{Buf, Bytes};
+use tallypin::api::Nanos;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use crate::health;
+use crate::host::{HeldBody, Host, Piece, Ticket};
+use crate::http::{reason, Bad, Body, Framing, Head, Part, Start, Wire};
+use crate::shutdown::Stage;
+
+/// A front.
+pub enum Front {
+    /// The platform's protocol.
+    Platform,
+}
+
+/// A request as it was read.
+pub struct Incoming {
+    /// The method.
+    pub method: Bytes,
+    /// Path and query.
+    pub target: Bytes,
+    /// The head.
+    pub head: Head,
+    /// The body.
+    pub body: HeldBody,
+    /// When its first byte was seen.
+    pub since: Nanos,
+}
+
+impl Incoming {
+    /// The path without the query.
+    pub fn path(&self) -> &[u8] {
+        self.target.split(|b| *b == b'?').next().unwrap_or_default()
+    }
+
+    /// What is left at `now` of a wait that began when the client sent.
+    pub fn left(&self, now: Nanos, wait: Nanos) -> Nanos {
+        wait.saturating_sub(now.saturating_sub(self.since))
+    }
+}
+
+/// Why a request gets no further than its front.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turned {
+    /// It is no request that could be taken.
+    Bad(Bad),
+    /// There is no such thing here.
+    NotFound,
+    /// Not with this method.
+    Method,
+    /// The router holds as much as it can.
+    Full,
+    /// It did not come whole in time.
+    Slow,
+}
+
+impl Turned {
+    /// The status that says so.
+    pub fn status(self) -> u16 {
+        match self {
+            Turned::Bad(Bad::Malformed) => 400,
+            Turned::Bad(Bad::LargeBody) => 413,
+            Turned::Bad(Bad::LargeHead) => 431,
+            Turned::Bad(Bad::Coding) => 501,
+            Turned::NotFound => 404,
+            Turned::Method => 405,
+            Turned::Full => 503,
+            Turned::Slow => 408,
+        }
+    }
+}
+
+impl From<Bad> for Turned {
+    fn from(bad: Bad) -> Self {
+        Turned::Bad(bad)
+    }
+}
+
+/// What an answer leaves of its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Then {
+    /// Another request may come.
+    Next,
+    /// It is closed, at once.
+    Close,
+}
+
+/// Takes connections until the router closes.
+pub async fn serve(host: Rc<Host>, listener: TcpListener, front: Front) {
+    let front = Rc::new(front);
+    let most = host.limits.clients + host.limits.clients_refused;
+    loop {
+        // Beyond this, connections wait where the machine holds them, and cost no descriptor.
+        while host.clients.get() >= most {
+            host.client_closed.notified().await;
+        }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = host.drain.reached(Stage::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                host.clients.set(host.clients.get() + 1);
+                if host.clients.get() > host.limits.clients {
+                    host.client_unwanted.notify_one();
+                }
+                let counted = Counted(host.clone());
+                tokio::task::spawn_local(connection(counted, stream, front.clone()));
+            }
+            // Out of descriptors, or the client was gone already: neither ends the service.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+        }
+    }
+}
+
+struct Counted(Rc<Host>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.clients.set(self.0.clients.get() - 1);
+        self.0.client_closed.notify_waiters();
+    }
+}
+
+async fn connection(counted: Counted, stream: TcpStream, front: Rc<Front>) {
+    let host = &counted.0;
+    let crowded = host.clients.get() > host.limits.clients;
+    let mut wire = Wire::new(stream);
+    while wait_for_request(host, &mut wire).await {
+        let since = host.clock.now();
+        let read = timeout(host.limits.read, read_request(host, &mut wire, since));
+        let request = match read.await.unwrap_or(Ok(Err(Turned::Slow))) {
+            Ok(request) => request,
+            Err(_) => return,
+        };
+        let (keeps, then) = match request {
+            Ok(r) if crowded && !health::asks(&r) => (false, front.turn(host, &mut wire, Turned::Full).await),
+            Ok(request) => (request.head.keeps(), front.answer(host, &mut wire, request).await),
+            Err(turned) => (false, front.turn(host, &mut wire, turned).await),
+        };
+        match then {
+            Ok(Then::Next) if keeps && !crowded => {}
+            Ok(Then::Next) => return linger(wire).await,
+            _ => return,
+        }
+    }
+}
+
+/// Waits until a request begins; false if the connection is to be closed instead.
+async fn wait_for_request(host: &Host, wire: &mut Wire) -> bool {
+    if !wire.buf.is_empty() {
+        return true;
+    }
+    tokio::select! {
+        biased;
+        more = wire.more() => matches!(more, Ok(true)),
+        () = host.drain.reached(Stage::Closing) => false,
+        () = host.client_unwanted.notified() => false,
+        () = tokio::time::sleep(host.limits.idle_client) => false,
+    }
+}
+
+async fn read_request(host: &Host, wire: &mut Wire, since: Nanos) -> io::Result<Result<Incoming, Turned>> {
+    let limits = &host.limits;
+    let head = loop {
+        match Head::request(&mut wire.buf, limits) {
+            Ok(Some(head)) => break head,
+            Ok(None) => {
+                if !wire.more().await? {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            Err(bad) => return Ok(Err(bad.into())),
+        }
+    };
+    let Start::Request(method, target) = head.start.clone() else { return Ok(Err(Bad::Malformed.into())) };
+    let framing = match head.framing() {
+        Ok(framing) => framing,
+        Err(bad) => return Ok(Err(bad.into())),
+    };
+    if head.current && !matches!(head.one("host"), Ok(Some(_))) {
+        return Ok(Err(Bad::Malformed.into()));
+    }
+    let expected = match framing {
+        Framing::Length(n) if n > limits.body as u64 => return Ok(Err(Bad::LargeBody.into())),
+        Framing::Length(n) => n as usize,
+        Framing::Chunked => limits.body,
+        Framing::Unstated => 0,
+    };
+    // Reserved before it is read: many slow bodies at once would else be more than the memory holds.
+    let Some(mut reserved) = host.reserve(expected) else { return Ok(Err(Turned::Full)) };
+    if head.expects() && wire.buf.is_empty() {
+        wire.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
+    }
+    let bytes = if framing == Framing::Chunked {
+        let (mut body, mut all) = (Body::new(framing), Vec::new());
+        loop {
+            match body.next(&mut wire.buf) {
+                Ok(Some(Part::Bytes(data))) if all.len() + data.len() > limits.body => {
+                    return Ok(Err(Bad::LargeBody.into()))
+                }
+                Ok(Some(Part::Bytes(data))) => all.extend_from_slice(&data),
+                Ok(Some(Part::End)) => break Bytes::from(all),
+                Ok(None) if wire.more().await? => {}
+                Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Err(bad) => return Ok(Err(bad.into())),
+            }
+        }
+    } else {
+        while wire.buf.len() < expected {
+            if !wire.more().await? {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        wire.buf.split_to(expected).freeze()
+    };
+    reserved.shrink(bytes.len());
+    Ok(Ok(Incoming { method, target, head, body: HeldBody { bytes, reserved }, since }))
+}
+
+/// Closes a connection so that the answer just written still arrives: what the client goes on sending is
+/// taken for a while, as an outright close would reset the connection under the answer.
+async fn linger(mut wire: Wire) {
+    use tokio::io::AsyncWriteExt;
+    let _ = wire.stream.shutdown().await;
+    let rest = async {
+        for _ in 0..64 {
+            wire.buf.clear();
+            if !matches!(wire.more().await, Ok(true)) {
+                break;
+            }
+        }
+    };
+    let _ = timeout(std::time::Duration::from_millis(500), rest).await;
+}
+
+/// What a waiting client's front has to deal with next.
+pub enum Next {
+    /// Something of the answer.
+    Piece(Piece),
+    /// The client has left.
+    Left,
+}
+
+/// Waits for the next piece of an answer, and notices when the client leaves.
+pub async fn next(host: &Host, wire: &mut Wire, ticket: &mut Ticket) -> Next {
+    loop {
+        // A client that sends on before it has its answer is read only so far.
+        let room = wire.buf.len() < host.limits.head;
+        tokio::select! {
+            biased;
+            piece = ticket.next() => return piece.map_or(Next::Left, Next::Piece),
+            more = wire.more(), if room => match more {
+                Ok(true) => {}
+                _ => return Next::Left,
+            }
+        }
+    }
+}
+
+/// Writes part of an answer; a client that takes nothing for too long counts as gone.
+pub async fn write(host: &Host, wire: &mut Wire, parts: impl Buf) -> io::Result<()> {
+    timeout(host.limits.write, wire.write(parts)).await.map_err(|_| io::ErrorKind::TimedOut)?
+}
+
+/// Writes one chunk in the same way.
+pub async fn write_chunk(host: &Host, wire: &mut Wire, head: Bytes, data: Bytes) -> io::Result<()> {
+    let size = Bytes::from(format!("{:x}\r\n", data.len()));
+    write(host, wire, head.chain(size).chain(data).chain(&b"\r\n"[..])).await
+}
+
+/// Writes a whole short answer.
+pub async fn write_whole(
+    host: &Host,
+    wire: &mut Wire,
+    status: u16,
+    fields: &str,
+    body: Bytes,
+) -> io::Result<()> {
+    let last = if host.drain.stage() >= Stage::Closing { "Connection: close\r\n" } else { "" };
+    let (why, length) = (reason(status), body.len());
+    let head = format!("HTTP/1.1 {status} {why}\r\n{fields}{last}Content-Length: {length}\r\n\r\n");
+    write(host, wire, Bytes::from(head).chain(body)).await
+}
+
+/// How long to stay away, as a field of a refusal: the module's advice, in seconds.
+pub fn retry_after(host: &Host, advice: Nanos) -> f64 {
+    advice.max(host.limits.come_back.as_nanos() as Nanos) as f64 / 1e9
+}
+
+impl Front {
+    async fn answer(&self, host: &Rc<Host>, wire: &mut Wire, request: Incoming) -> io::Result<Then> {
+        if health::asks(&request) {
+            return health::answer(host, wire).await.map(|()| Then::Next);
+        }
+        match self {
+            Front::Platform => platform::answer(host, wire, request).await,
+        }
+    }
+
+    async fn turn(&self, host: &Host, wire: &mut Wire, why: Turned) -> io::Result<Then> {
+        match self {
+            Front::Platform => platform::turn(host, wire, why).await,
+        }
+    }
+}
--- /dev/null
+++ b/router/src/front/platform.rs
@@ -0,0 +1,126 @@
+//! The platform's protocol: a thin front. Events pass through untouched.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use tallypin::api::{ClassId, Nanos, TenantId};
+use tallypin::names;
+
+use super::{next, retry_after, write, write_chunk, write_whole, Incoming, Next, Then, Turned};
+use crate::core::{Ask, FinalAnswer};
+use crate::dialect::Dialect;
+use crate::host::{Host, Piece, Prompt};
+use crate::http::{Bad, Wire};
+
+/// The path of requests.
+const PATH: &[u8] = b"/v1/chat/completions";
+/// The longest name of a request.
+const LONGEST_ID: usize = 128;
+/// A wait above this is no wait.
+const ABSURD_MS: u64 = 24 * 3600 * 1000;
+
+const BEGUN: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Reads what the core wants to know of a request; also gives the request's name.
+pub fn read(host: &Host, request: &Incoming, now: Nanos) -> Result<(Ask, Bytes), Turned> {
+    if request.path() != PATH {
+        return Err(Turned::NotFound);
+    }
+    if &request.method[..] != b"POST" {
+        return Err(Turned::Method);
+    }
+    let (head, of) = (&request.head, &host.deployment);
+    let id = head.one("req-id")?.ok_or(Bad::Malformed)?.clone();
+    if id.is_empty() || id.len() > LONGEST_ID || !id.iter().all(u8::is_ascii_graphic) || !head.current {
+        return Err(Bad::Malformed.into());
+    }
+    let kind = head.text("req-kind")?;
+    let class = of.classes.iter().position(|c| Some(c.name.as_str()) == kind).ok_or(Bad::Malformed)?;
+    let owner = head.text("req-owner")?;
+    let partner = match of.partners.iter().position(|p| Some(p.as_str()) == owner) {
+        Some(partner) => partner,
+        None if of.partners.is_empty() => 0,
+        None => return Err(Bad::Malformed.into()),
+    };
+    let wait = match head.text("req-deadline-ms")? {
+        None => of.classes[class].deadline,
+        Some(ms) => number(ms).filter(|ms| *ms <= ABSURD_MS).ok_or(Bad::Malformed)? * 1_000_000,
+    };
+    let mut ask = Ask {
+        class: ClassId(class as u32),
+        partner: TenantId(partner as u32),
+        left: request.left(now, wait),
+        session: head.one("req-key")?.map(|key| names::session(key)),
+        returned: head.text("req-retry")? == Some("again"),
+        ..Ask::default()
+    };
+    for pair in head.text("req-extra")?.unwrap_or_default().split(',').filter(|p| !p.trim().is_empty()) {
+        let (name, value) = pair.trim().split_once('=').ok_or(Bad::Malformed)?;
+        let tokens = || number(value).and_then(|n| u32::try_from(n).ok()).ok_or(Bad::Malformed);
+        match name {
+            "prefix" => ask.beginning = Some(names::beginning(value.as_bytes())),
+            "prompt_len" => ask.prompt_tokens = tokens()?,
+            "prefix_len" => ask.beginning_tokens = tokens()?,
+            _ => {}
+        }
+    }
+    Ok((ask, id))
+}
+
+/// A whole number, digits only.
+fn number(text: &str) -> Option<u64> {
+    text.parse().ok().filter(|_| text.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// Answers one request.
+pub async fn answer(host: &Rc<Host>, wire: &mut Wire, request: Incoming) -> io::Result<Then> {
+    let (ask, id) = match read(host, &request, host.clock.now()) {
+        Ok(read) => read,
+        Err(why) => return turn(host, wire, why).await,
+    };
+    if host.full() {
+        return turn(host, wire, Turned::Full).await;
+    }
+    let Incoming { method, target, body, .. } = request;
+    let prompt = Prompt { id, method, target, body, dialect: Dialect::Chat };
+    let mut ticket = host.submit(ask, prompt);
+    let mut head = Bytes::from_static(BEGUN);
+    loop {
+        match next(host, wire, &mut ticket).await {
+            Next::Piece(Piece::Events(bytes, _)) => {
+                write_chunk(host, wire, std::mem::take(&mut head), bytes).await?;
+            }
+            Next::Piece(Piece::Answer(FinalAnswer::Served)) => {
+                write(host, wire, &b"0\r\n\r\n"[..]).await?;
+                return Ok(Then::Next);
+            }
+            // Without the last chunk, so that the client knows that this is not the end.
+            Next::Piece(Piece::Answer(FinalAnswer::Broken)) | Next::Left => return Ok(Then::Close),
+            Next::Piece(Piece::Answer(FinalAnswer::Refused(advice))) => {
+                let fields = format!("Retry-After: {:.3}\r\n", retry_after(host, advice));
+                write_whole(host, wire, 503, &fields, Bytes::from_static(b"refused\n")).await?;
+                return Ok(Then::Next);
+            }
+            Next::Piece(Piece::Answer(FinalAnswer::Failed { late })) => {
+                let status = if late { 504 } else { 500 };
+                write_whole(host, wire, status, "", Bytes::from_static(b"failed\n")).await?;
+                return Ok(Then::Next);
+            }
+        }
+    }
+}
+
+/// Answers what is no request that could be taken.
+pub async fn turn(host: &Host, wire: &mut Wire, why: Turned) -> io::Result<Then> {
+    let status = why.status();
+    let fields = match why {
+        Turned::Full => format!("Retry-After: {:.3}\r\n", retry_after(host, 0)),
+        Turned::Method => "Allow: POST\r\n".into(),
+        _ => String::new(),
+    };
+    let body = Bytes::from_static(crate::http::reason(status).as_bytes());
+    write_whole(host, wire, status, &fields, body).await?;
+    Ok(Then::Next)
+}
--- /dev/null
+++ b/router/src/host.rs
@@ -0,0 +1,295 @@
+//! What ties the core to the sockets: it hands the core the time and what happened, and carries out its
+//! orders. All tasks run on one thread; the core is borrowed only between two awaits, never across one.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use rustc_hash::FxHashMap;
+use tallypin::api::{Nanos, RequestId, SettingsError};
+use tallypin::settings::Deployment;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::AbortHandle;
+
+use crate::config::Config;
+use crate::core::{Ask, Core, FinalAnswer, Order};
+use crate::dialect::{Dialect, Event};
+use crate::limits::Limits;
+use crate::node::{self, Nodes};
+use crate::peers::Peers;
+use crate::shutdown::Drain;
+
+/// The module's clock: monotonic, and set to Unix time once at the start. So the starting times of model
+/// nodes, which are Unix time, can be compared with it, and no step of the system's clock reaches it.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    unix: Nanos,
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_nanos() as Nanos, start: Instant::now() }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Nanos {
+        self.at(Instant::now())
+    }
+
+    /// The time of an instant.
+    pub fn at(&self, instant: Instant) -> Nanos {
+        self.unix + instant.saturating_duration_since(self.start).as_nanos() as Nanos
+    }
+
+    /// The instant of a time.
+    pub fn instant(&self, at: Nanos) -> Instant {
+        // A year is as good as never, and keeps clear of what an instant can hold.
+        let ahead = at.saturating_sub(self.unix).min(31_536_000_000_000_000);
+        self.start + Duration::from_nanos(ahead)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::new()
+    }
+}
+
+/// What a front hears of a request after it was submitted.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Piece {
+    /// Whole events as they came, and what they say.
+    Events(Bytes, Vec<Event>),
+    /// The final answer; nothing follows.
+    Answer(FinalAnswer),
+}
+
+/// What a model node gets of a request.
+#[derive(Debug)]
+pub struct Prompt {
+    /// The client's name for the request.
+    pub id: Bytes,
+    /// The method.
+    pub method: Bytes,
+    /// Path and query.
+    pub target: Bytes,
+    /// The body, counted among those held.
+    pub body: HeldBody,
+    /// The client's dialect.
+    pub dialect: Dialect,
+}
+
+/// A part of the budget for bodies, given back when it is dropped.
+#[derive(Debug)]
+pub struct Reserved {
+    size: usize,
+    budget: Rc<Cell<usize>>,
+}
+
+impl Reserved {
+    /// Gives back what turned out not to be needed.
+    pub fn shrink(&mut self, to: usize) {
+        let less = self.size.saturating_sub(to);
+        self.size -= less;
+        self.budget.set(self.budget.get() + less);
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        self.budget.set(self.budget.get() + self.size);
+    }
+}
+
+/// A body, and its part of the budget.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// Its part of the budget.
+    pub reserved: Reserved,
+}
+
+struct Waiting {
+    pieces: mpsc::Sender<Piece>,
+    prompt: Rc<Prompt>,
+}
+
+/// One running router.
+pub struct Host {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The limits.
+    pub limits: Limits,
+    /// The clock.
+    pub clock: Clock,
+    /// The model nodes and the connections to them.
+    pub nodes: Nodes,
+    /// The way to the other routers.
+    pub peers: Option<Peers>,
+    /// How far the end has come.
+    pub drain: Drain,
+    /// Asks for a watch of the node list.
+    pub list_wanted: Notify,
+    /// Asks the longest idle client connection to close.
+    pub client_unwanted: Notify,
+    /// Told whenever a client connection has closed.
+    pub client_closed: Notify,
+    /// Events that no dialect names, skipped.
+    pub unknown_events: Cell<u64>,
+    /// Client connections.
+    pub clients: Cell<usize>,
+    core: RefCell<Core>,
+    waiting: RefCell<FxHashMap<RequestId, Waiting>>,
+    attempts: RefCell<FxHashMap<(RequestId, u32), AbortHandle>>,
+    bodies: Rc<Cell<usize>>,
+    due: Cell<Option<Nanos>>,
+    due_sooner: Notify,
+}
+
+impl Host {
+    /// A router by a configuration, with model nodes of this dialect. Its tasks are started by
+    /// [`crate::front::serve`] and its like.
+    pub fn new(config: Config, nodes: Dialect, peers: Option<Peers>) -> Result<Rc<Host>, SettingsError> {
+        let Config { seed, deployment, limits, .. } = config;
+        let slack = limits.slack.as_nanos() as Nanos;
+        Ok(Rc::new(Host {
+            core: RefCell::new(Core::new(deployment.decisions.clone(), seed, slack)?),
+            clock: Clock::new(),
+            nodes: Nodes::new(nodes, &limits),
+            peers,
+            drain: Drain::new(),
+            list_wanted: Notify::new(),
+            client_unwanted: Notify::new(),
+            client_closed: Notify::new(),
+            unknown_events: Cell::new(0),
+            clients: Cell::new(0),
+            waiting: RefCell::default(),
+            attempts: RefCell::default(),
+            bodies: Rc::new(Cell::new(limits.bodies)),
+            due: Cell::new(None),
+            due_sooner: Notify::new(),
+            deployment,
+            limits,
+        }))
+    }
+
+    /// Does something with the core, now, and carries out what follows.
+    pub fn with<R>(self: &Rc<Self>, does: impl FnOnce(&mut Core, Nanos) -> R) -> R {
+        let (result, orders) = self.ask(does);
+        self.carry_out(orders);
+        result
+    }
+
+    fn ask<R>(&self, does: impl FnOnce(&mut Core, Nanos) -> R) -> (R, Vec<Order>) {
+        let mut core = self.core.borrow_mut();
+        let result = does(&mut core, self.clock.now());
+        let due = core.next_due();
+        if due != self.due.replace(due) {
+            self.due_sooner.notify_one();
+        }
+        (result, core.orders())
+    }
+
+    /// Sets a part of the budget for bodies aside, if there is so much left.
+    pub fn reserve(&self, size: usize) -> Option<Reserved> {
+        self.bodies.set(self.bodies.get().checked_sub(size)?);
+        Some(Reserved { size, budget: self.bodies.clone() })
+    }
+
+    /// Whether another request may be opened.
+    pub fn full(&self) -> bool {
+        self.core.borrow().open() >= self.limits.open
+    }
+
+    /// Submits a request. The ticket stands for the waiting client: dropped early, it has left.
+    pub fn submit(self: &Rc<Self>, ask: Ask, prompt: Prompt) -> Ticket {
+        let (pieces, receiver) = mpsc::channel(self.limits.pieces);
+        let (id, orders) = self.ask(|core, now| core.take(now, ask));
+        self.waiting.borrow_mut().insert(id, Waiting { pieces, prompt: Rc::new(prompt) });
+        self.carry_out(orders);
+        Ticket { host: self.clone(), id, pieces: receiver }
+    }
+
+    fn carry_out(self: &Rc<Self>, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Begin(id, attempt, node, deadline) => {
+                    let waiting = self.waiting.borrow();
+                    let Some(w) = waiting.get(&id) else { continue };
+                    let (pieces, prompt) = (w.pieces.clone(), w.prompt.clone());
+                    let run =
+                        node::Attempt { host: self.clone(), id, attempt, node, deadline, prompt, pieces };
+                    let task = tokio::task::spawn_local(run.run());
+                    self.attempts.borrow_mut().insert((id, attempt), task.abort_handle());
+                }
+                Order::Close(id, attempt) => {
+                    if let Some(task) = self.attempts.borrow_mut().remove(&(id, attempt)) {
+                        task.abort();
+                    }
+                }
+                Order::Answer(id, answer) => {
+                    let Some(w) = self.waiting.borrow_mut().remove(&id) else { continue };
+                    // The end of a begun stream follows its events, from the task that passes them on.
+                    if matches!(answer, FinalAnswer::Refused(_) | FinalAnswer::Failed { .. }) {
+                        // Nothing was sent before it, so there is room.
+                        let _ = w.pieces.try_send(Piece::Answer(answer));
+                    }
+                }
+                Order::Probe(id) => {
+                    tokio::task::spawn_local(node::probe(self.clone(), id));
+                }
+                Order::Watch => self.list_wanted.notify_one(),
+                Order::Tell(bytes) => {
+                    if let Some(peers) = &self.peers {
+                        peers.tell(&bytes);
+                    }
+                }
+            }
+        }
+    }
+
+    /// An attempt's task is at its end.
+    pub fn attempt_over(&self, id: RequestId, attempt: u32) {
+        self.attempts.borrow_mut().remove(&(id, attempt));
+    }
+
+    /// Wakes the core whenever something falls due. Ends never.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let due = self.due.get().map(|at| self.clock.instant(at));
+            match due {
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(at.into()) => self.with(|core, now| core.tick(now)),
+                    () = self.due_sooner.notified() => {}
+                },
+                None => self.due_sooner.notified().await,
+            }
+        }
+    }
+}
+
+/// A client's place in the queue.
+pub struct Ticket {
+    host: Rc<Host>,
+    id: RequestId,
+    pieces: mpsc::Receiver<Piece>,
+}
+
+impl Ticket {
+    /// What comes next. After the final answer, nothing does.
+    pub async fn next(&mut self) -> Option<Piece> {
+        self.pieces.recv().await
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.host.waiting.borrow_mut().remove(&self.id);
+        self.host.with(|core, now| core.client_left(now, self.id));
+    }
+}
--- /dev/null
+++ b/router/src/http.rs
@@ -0,0 +1,327 @@
+//! HTTP/1.1 as the router needs it: heads parsed where they were read, bodies by length or in chunks,
+//! answers written in one gathered write. Whatever is ambiguous is refused, never guessed.
+
+use std::io;
+
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::limits::Limits;
+
+/// Why a message was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bad {
+    /// It breaks the protocol or is ambiguous: 400.
+    Malformed,
+    /// The body is too large: 413.
+    LargeBody,
+    /// The head is too large: 431.
+    LargeHead,
+    /// A transfer coding that is not served: 501.
+    Coding,
+}
+
+/// The first line of a head.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Start {
+    /// Of a request: method and target.
+    Request(Bytes, Bytes),
+    /// Of an answer.
+    Status(u16),
+}
+
+/// A head, its parts slices of what was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// The first line.
+    pub start: Start,
+    /// The fields in their order.
+    pub fields: Vec<(Bytes, Bytes)>,
+    /// Spoken in HTTP/1.1, not 1.0.
+    pub current: bool,
+}
+
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// After so many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// Nothing says so: for an answer, when the connection ends.
+    Unstated,
+}
+
+impl Head {
+    /// Takes a whole request head off the front of `buf`, if there is one.
+    pub fn request(buf: &mut BytesMut, limits: &Limits) -> Result<Option<Head>, Bad> {
+        Head::take(buf, limits, true)
+    }
+
+    /// Takes a whole answer head off the front of `buf`, if there is one.
+    pub fn answer(buf: &mut BytesMut, limits: &Limits) -> Result<Option<Head>, Bad> {
+        Head::take(buf, limits, false)
+    }
+
+    fn take(buf: &mut BytesMut, limits: &Limits, request: bool) -> Result<Option<Head>, Bad> {
+        let mut slots = vec![httparse::EMPTY_HEADER; limits.fields];
+        // Places in `buf`, so that the fields can be cut out of it afterwards without a copy.
+        let base = buf.as_ptr() as usize;
+        let place = |part: &[u8]| (part.as_ptr() as usize - base, part.len());
+        let bad = |e| match e {
+            httparse::Error::TooManyHeaders => Bad::LargeHead,
+            _ => Bad::Malformed,
+        };
+        let too_large = |n: usize| if n > limits.head { Err(Bad::LargeHead) } else { Ok(()) };
+        let (length, start, version, fields) = if request {
+            let mut parsed = httparse::Request::new(&mut slots);
+            let httparse::Status::Complete(length) = parsed.parse(buf).map_err(bad)? else {
+                return too_large(buf.len()).map(|()| None);
+            };
+            let part = |s: Option<&str>| place(s.unwrap_or_default().as_bytes());
+            ((length), Ok((part(parsed.method), part(parsed.path))), parsed.version, parsed.headers)
+        } else {
+            let mut parsed = httparse::Response::new(&mut slots);
+            let httparse::Status::Complete(length) = parsed.parse(buf).map_err(bad)? else {
+                return too_large(buf.len()).map(|()| None);
+            };
+            (length, Err(parsed.code.unwrap_or_default()), parsed.version, parsed.headers)
+        };
+        too_large(length)?;
+        let places: Vec<_> = fields.iter().map(|f| (place(f.name.as_bytes()), place(f.value))).collect();
+        let whole = buf.split_to(length).freeze();
+        let cut = |(at, len): (usize, usize)| whole.slice(at..at + len);
+        let fields = places.into_iter().map(|(name, value)| (cut(name), cut(value))).collect();
+        let start = match start {
+            Ok((method, target)) => Start::Request(cut(method), cut(target)),
+            Err(code) => Start::Status(code),
+        };
+        Ok(Some(Head { start, fields, current: version == Some(1) }))
+    }
+
+    fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a Bytes> + use<'a, 'n> {
+        self.fields.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name.as_bytes())).map(|(_, v)| v)
+    }
+
+    /// The value of a field that may stand once; twice is an error.
+    pub fn one(&self, name: &str) -> Result<Option<&Bytes>, Bad> {
+        let mut values = self.all(name);
+        match (values.next(), values.next()) {
+            (value, None) => Ok(value),
+            _ => Err(Bad::Malformed),
+        }
+    }
+
+    /// The value of a field as text.
+    pub fn text(&self, name: &str) -> Result<Option<&str>, Bad> {
+        self.one(name)?.map(|v| std::str::from_utf8(v).map_err(|_| Bad::Malformed)).transpose()
+    }
+
+    fn lists(&self, name: &str, word: &str) -> bool {
+        self.all(name)
+            .any(|v| v.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes())))
+    }
+
+    /// Whether the connection may carry another message after this one.
+    pub fn keeps(&self) -> bool {
+        match self.current {
+            true => !self.lists("connection", "close"),
+            false => self.lists("connection", "keep-alive"),
+        }
+    }
+
+    /// Whether the client waits for a word before it sends the body.
+    pub fn expects(&self) -> bool {
+        self.lists("expect", "100-continue")
+    }
+
+    /// How the body ends. Two answers to that, or none that is clear, are an error: a neighbour who
+    /// reads the other one would see another message.
+    pub fn framing(&self) -> Result<Framing, Bad> {
+        let length = self.one("content-length")?;
+        let coding = self.one("transfer-encoding")?;
+        match (length, coding) {
+            (Some(_), Some(_)) => Err(Bad::Malformed),
+            (None, None) => Ok(Framing::Unstated),
+            (None, Some(_)) if !self.current => Err(Bad::Malformed),
+            (None, Some(c)) if c.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
+            (None, Some(_)) => Err(Bad::Coding),
+            (Some(l), None) => {
+                // Digits only: `parse` alone would take a sign.
+                let digits = !l.is_empty() && l.iter().all(u8::is_ascii_digit);
+                let text = std::str::from_utf8(l).ok().filter(|_| digits);
+                text.and_then(|t| t.parse().ok()).map(Framing::Length).ok_or(Bad::Malformed)
+            }
+        }
+    }
+}
+
+/// A part of a body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Part {
+    /// Bytes of it.
+    Bytes(Bytes),
+    /// Its end.
+    End,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum At {
+    Size,
+    Data(u64),
+    AfterData,
+    Trailer,
+    End,
+}
+
+/// Reads a body out of what has arrived.
+#[derive(Debug, Clone)]
+pub struct Body {
+    framing: Framing,
+    at: At,
+}
+
+/// The longest line of a chunk's size or of a trailer, and the most trailers.
+const CHUNK_LINE: usize = 1024;
+
+impl Body {
+    /// The body of a message framed so.
+    pub fn new(framing: Framing) -> Body {
+        let at = match framing {
+            Framing::Chunked => At::Size,
+            Framing::Length(0) => At::End,
+            Framing::Length(n) => At::Data(n),
+            Framing::Unstated => At::Data(u64::MAX),
+        };
+        Body { framing, at }
+    }
+
+    /// The next part that is whole in `buf`; `None` if more has to be read first.
+    pub fn next(&mut self, buf: &mut BytesMut) -> Result<Option<Part>, Bad> {
+        loop {
+            match self.at {
+                At::End => return Ok(Some(Part::End)),
+                At::Data(_) if buf.is_empty() => return Ok(None),
+                At::Data(left) => {
+                    let n = left.min(buf.len() as u64);
+                    self.at = match (self.framing, left - n) {
+                        (Framing::Chunked, 0) => At::AfterData,
+                        (_, 0) => At::End,
+                        (_, left) => At::Data(left),
+                    };
+                    return Ok(Some(Part::Bytes(buf.split_to(n as usize).freeze())));
+                }
+                At::AfterData => match &buf[..] {
+                    [b'\r', b'\n', ..] => {
+                        buf.advance(2);
+                        self.at = At::Size;
+                    }
+                    [] | [b'\r'] => return Ok(None),
+                    _ => return Err(Bad::Malformed),
+                },
+                At::Size => {
+                    let Some(line) = line(buf)? else { return Ok(None) };
+                    // An extension may follow a semicolon.
+                    let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
+                    let hex = (1..=15).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
+                    let text = std::str::from_utf8(digits).ok().filter(|_| hex);
+                    let size = text.and_then(|t| u64::from_str_radix(t, 16).ok());
+                    self.at = match size.ok_or(Bad::Malformed)? {
+                        0 => At::Trailer,
+                        n => At::Data(n),
+                    };
+                }
+                At::Trailer => {
+                    let Some(line) = line(buf)? else { return Ok(None) };
+                    if line.is_empty() {
+                        self.at = At::End;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn line(buf: &mut BytesMut) -> Result<Option<Bytes>, Bad> {
+    match buf.iter().position(|b| *b == b'\n') {
+        Some(end) if end > CHUNK_LINE || end == 0 || buf[end - 1] != b'\r' => Err(Bad::Malformed),
+        Some(end) => {
+            let mut line = buf.split_to(end + 1);
+            line.truncate(end - 1);
+            Ok(Some(line.freeze()))
+        }
+        None if buf.len() > CHUNK_LINE => Err(Bad::Malformed),
+        None => Ok(None),
+    }
+}
+
+/// A connection and what has been read from it beyond the last message.
+#[derive(Debug)]
+pub struct Wire {
+    /// The connection.
+    pub stream: TcpStream,
+    /// What has arrived and is not used yet.
+    pub buf: BytesMut,
+}
+
+/// What a read asks for at least.
+const READ: usize = 8 << 10;
+
+impl Wire {
+    /// A new connection. Small writes go out at once: events are small, and late is lost.
+    pub fn new(stream: TcpStream) -> Wire {
+        let _ = stream.set_nodelay(true);
+        Wire { stream, buf: BytesMut::new() }
+    }
+
+    /// Reads more; false at the end of what the other side sends.
+    pub async fn more(&mut self) -> io::Result<bool> {
+        self.buf.reserve(READ);
+        Ok(self.stream.read_buf(&mut self.buf).await? > 0)
+    }
+
+    /// Writes a head and what follows it in gathered writes.
+    pub async fn write(&mut self, mut parts: impl Buf) -> io::Result<()> {
+        while parts.has_remaining() {
+            if self.stream.write_buf(&mut parts).await? == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes one chunk.
+    pub async fn write_chunk(&mut self, data: Bytes) -> io::Result<()> {
+        let size = Bytes::from(format!("{:x}\r\n", data.len()));
+        self.write(size.chain(data).chain(&b"\r\n"[..])).await
+    }
+
+    /// Whether the other side has closed, or said something unasked: the connection is of no more use.
+    pub fn spoilt(&mut self) -> bool {
+        let mut byte = [0u8; 1];
+        let silent =
+            matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+        !silent || !self.buf.is_empty()
+    }
+}
+
+/// The reason phrase of a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        529 => "Overloaded",
+        _ => "Other",
+    }
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,1 +1,15 @@
-//! The router around the decision module.
+//! The router around the decision module: real sockets on the outside, [`core`] in the middle, two
+//! fronts before it. `docs/ARCHITECTURE.md` follows a request through these modules.
+
+pub mod config;
+pub mod core;
+pub mod dialect;
+pub mod front;
+pub mod health;
+pub mod host;
+pub mod http;
+pub mod limits;
+pub mod node;
+pub mod node_list;
+pub mod peers;
+pub mod shutdown;
--- /dev/null
+++ b/router/src/limits.rs
@@ -0,0 +1,92 @@
+//! Every size, count and time that the router holds itself to, filled once at start and handed down.
+
+use std::time::Duration;
+
+use tallypin::settings::Deployment;
+
+/// The limits of one router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// The largest head of a message, bytes.
+    pub head: usize,
+    /// The most header fields of a message.
+    pub fields: usize,
+    /// The largest body of a request, bytes.
+    pub body: usize,
+    /// The largest event of a stream, bytes.
+    pub event: usize,
+    /// The largest line of the node list, bytes.
+    pub list_line: usize,
+    /// What bodies may take together, bytes.
+    pub bodies: usize,
+    /// Client connections served at once; more are answered 503 and closed.
+    pub clients: usize,
+    /// Further client connections that are taken only to be refused.
+    pub clients_refused: usize,
+    /// Connections to model nodes, idle ones included.
+    pub node_connections: usize,
+    /// Open requests.
+    pub open: usize,
+    /// Pieces of a stream that wait for a slow client.
+    pub pieces: usize,
+    /// A connection to a model node is up by then, or counts as refused.
+    pub connect: Duration,
+    /// An idle connection to a model node is given up after this, well before the node does so.
+    pub idle_node: Duration,
+    /// A client connection may stand idle so long.
+    pub idle_client: Duration,
+    /// A message must be whole so long after its first byte.
+    pub read: Duration,
+    /// A client that takes nothing for so long has left.
+    pub write: Duration,
+    /// A begun stream without an event for so long is broken.
+    pub silence: Duration,
+    /// A probe is given up after this.
+    pub probe: Duration,
+    /// An answer that the decision module owes is given this long after the client's deadline at the latest.
+    pub slack: Duration,
+    /// A watch of the node list without a line for so long is lost.
+    pub list_silence: Duration,
+    /// Clients still come for so long after the order to stop.
+    pub grace: Duration,
+    /// After that, what was taken may go on for so long.
+    pub finish: Duration,
+    /// The least advice to a refused client on when to come back.
+    pub come_back: Duration,
+}
+
+impl Limits {
+    /// Limits that fit into so much memory and so many descriptors, at a deployment.
+    pub fn new(memory_mb: usize, sockets: usize, of: &Deployment) -> Limits {
+        let nanos = Duration::from_nanos;
+        // A sixteenth stays free for listeners, the node list, peers and what the runtime opens.
+        let usable = sockets.saturating_sub(sockets / 16 + 16).max(8);
+        let refused = (usable / 16).max(1);
+        let node_connections = usable * 2 / 5;
+        Limits {
+            head: 16 << 10,
+            fields: 64,
+            body: 256 << 10,
+            event: 256 << 10,
+            list_line: 4 << 20,
+            bodies: (memory_mb << 20) / 4,
+            clients: usable.saturating_sub(node_connections + refused).max(2),
+            clients_refused: refused,
+            node_connections,
+            open: of.most_held,
+            pieces: 8,
+            connect: nanos(of.connect_timeout),
+            idle_node: nanos(of.idle_close) * 7 / 10,
+            idle_client: Duration::from_secs(75),
+            read: Duration::from_secs(10),
+            write: Duration::from_secs(30),
+            silence: Duration::from_secs(4),
+            probe: Duration::from_millis(500),
+            slack: nanos(of.answer_slack).min(Duration::from_millis(10)),
+            list_silence: Duration::from_secs(5),
+            grace: Duration::from_millis(500),
+            finish: Duration::from_secs(60),
+            come_back: Duration::from_millis(100),
+        }
+    }
+}
--- /dev/null
+++ b/router/src/node.rs
@@ -0,0 +1,410 @@
+//! Connections to model nodes, and running one attempt on one of them.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes};
+use rustc_hash::FxHashMap;
+use tallypin::api::{Nanos, Outcome, ReplicaId, RequestId};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::core::{AttemptEnd, FinalAnswer};
+use crate::dialect::{self, Dialect, Event, Events};
+use crate::host::{Host, Piece, Prompt};
+use crate::http::{Body, Framing, Head, Part, Start, Wire};
+use crate::limits::Limits;
+
+/// A connection to a model node, counted while it is open.
+#[derive(Debug)]
+struct Link {
+    wire: Wire,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+struct Idle {
+    link: Link,
+    since: Instant,
+}
+
+struct Place {
+    addr: SocketAddr,
+    ready: bool,
+}
+
+/// The model nodes of the list, and idle connections to them.
+pub struct Nodes {
+    /// The dialect they speak.
+    pub dialect: Dialect,
+    most: usize,
+    idle_limit: Duration,
+    connect_limit: Duration,
+    /// By the list's `id`: the address may differ from router to router and change.
+    addresses: RefCell<FxHashMap<ReplicaId, Place>>,
+    /// The most recently used last.
+    idle: RefCell<FxHashMap<SocketAddr, Vec<Idle>>>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Nodes {
+    /// No nodes yet.
+    pub fn new(dialect: Dialect, limits: &Limits) -> Nodes {
+        Nodes {
+            dialect,
+            most: limits.node_connections,
+            idle_limit: limits.idle_node,
+            connect_limit: limits.connect,
+            addresses: RefCell::default(),
+            idle: RefCell::default(),
+            open: Rc::default(),
+        }
+    }
+
+    /// A node is at this address, and takes work or not.
+    pub fn set(&self, id: ReplicaId, addr: SocketAddr, ready: bool) {
+        self.addresses.borrow_mut().insert(id, Place { addr, ready });
+    }
+
+    /// Forgets the nodes that are not to be kept, and closes what is idle to them.
+    pub fn retain(&self, keep: impl Fn(ReplicaId) -> bool) {
+        let mut addresses = self.addresses.borrow_mut();
+        addresses.retain(|id, _| keep(*id));
+        self.idle.borrow_mut().retain(|at, _| addresses.values().any(|p| p.addr == *at));
+    }
+
+    /// How many nodes take work.
+    pub fn ready(&self) -> usize {
+        self.addresses.borrow().values().filter(|p| p.ready).count()
+    }
+
+    /// Closes connections that have been idle for long or that the node has closed.
+    pub fn sweep(&self) {
+        let limit = self.idle_limit;
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain_mut(|i| i.since.elapsed() < limit && !i.link.wire.spoilt());
+            !links.is_empty()
+        });
+    }
+
+    fn address(&self, id: ReplicaId) -> Option<SocketAddr> {
+        self.addresses.borrow().get(&id).map(|p| p.addr)
+    }
+
+    /// The most recently used idle connection: the others then grow old and are retired.
+    fn take_idle(&self, addr: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&addr)?;
+        while let Some(mut i) = links.pop() {
+            // A node that closed it, or is about to, would turn the next request into a reset.
+            if i.since.elapsed() < self.idle_limit && !i.link.wire.spoilt() {
+                return Some(i.link);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, addr: SocketAddr, link: Link) {
+        let idle = Idle { link, since: Instant::now() };
+        self.idle.borrow_mut().entry(addr).or_default().push(idle);
+    }
+
+    /// Makes room for one more connection, if need be by closing the one idle for longest.
+    fn make_room(&self) -> bool {
+        if self.open.get() < self.most {
+            return true;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
+        oldest.map(|links| links.remove(0)).is_some()
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Option<Link> {
+        if let Some(link) = self.take_idle(addr) {
+            return Some(link);
+        }
+        if !self.make_room() {
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        let count = Count(Some(self.open.clone()));
+        let stream = timeout(self.connect_limit, TcpStream::connect(addr)).await.ok()?.ok()?;
+        Some(count.into_link(Wire::new(stream)))
+    }
+}
+
+/// A counted connection that is not up yet.
+struct Count(Option<Rc<Cell<usize>>>);
+
+impl Count {
+    fn into_link(mut self, wire: Wire) -> Link {
+        Link { wire, open: self.0.take().unwrap_or_default() }
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        if let Some(open) = &self.0 {
+            open.set(open.get() - 1);
+        }
+    }
+}
+
+/// One attempt.
+pub struct Attempt {
+    /// The router.
+    pub host: Rc<Host>,
+    /// The request.
+    pub id: RequestId,
+    /// Which of its attempts.
+    pub attempt: u32,
+    /// Where to.
+    pub node: ReplicaId,
+    /// When the client gives up.
+    pub deadline: Nanos,
+    /// What to send.
+    pub prompt: Rc<Prompt>,
+    /// Where its events go once the request is bound to it.
+    pub pieces: mpsc::Sender<Piece>,
+}
+
+impl Attempt {
+    /// Runs it to its end. Giving it up is dropping it: the connection closes.
+    pub async fn run(mut self) {
+        let end = self.stream().await;
+        let answer = match end.outcome {
+            Outcome::Done => FinalAnswer::Served,
+            _ => FinalAnswer::Broken,
+        };
+        let (id, attempt, bound) = (self.id, self.attempt, self.bound());
+        self.host.attempt_over(id, attempt);
+        self.host.with(|core, now| core.ended(now, id, attempt, end));
+        if bound {
+            let _ = self.pieces.send(Piece::Answer(answer)).await;
+        }
+    }
+
+    fn bound(&self) -> bool {
+        self.deadline == BOUND
+    }
+
+    async fn stream(&mut self) -> AttemptEnd {
+        let Some(addr) = self.host.nodes.address(self.node) else { return Outcome::Refused.into() };
+        let Some(mut link) = self.host.nodes.connect(addr).await else { return Outcome::Refused.into() };
+        // Broken before its last byte was written, the request cannot have run.
+        let (head, body) = self.message();
+        if link.wire.write(head.chain(body)).await.is_err() {
+            return Outcome::Refused.into();
+        }
+        let head = match read_head(&mut link.wire, &self.host.limits).await {
+            Some(head) => head,
+            None => return Outcome::Reset.into(),
+        };
+        let names = &self.host.deployment.report;
+        let load = head.text("srv-load").ok().flatten().map(|l| dialect::read_load(l, names));
+        let load = load.unwrap_or_default();
+        let framing = match head.framing() {
+            Ok(framing) => framing,
+            Err(_) => return Outcome::Reset.into(),
+        };
+        match head.start {
+            Start::Status(200) => {}
+            Start::Status(status) => {
+                let declined = matches!(head.text("srv-declined"), Ok(Some("1")));
+                let outcome = match status {
+                    503 | 504 if declined => Outcome::Busy,
+                    _ => Outcome::Error,
+                };
+                if head.keeps() && drained(&mut link.wire, framing) {
+                    self.host.nodes.give_back(addr, link);
+                }
+                return AttemptEnd { outcome, kept: None, load };
+            }
+            Start::Request(..) => return Outcome::Reset.into(),
+        }
+        let (end, reusable) = self.pass_on(&mut link.wire, framing, load).await;
+        if reusable && head.keeps() && link.wire.buf.is_empty() {
+            self.host.nodes.give_back(addr, link);
+        }
+        end
+    }
+
+    fn message(&self) -> (Bytes, Bytes) {
+        let p = &self.prompt;
+        let left = self.deadline.saturating_sub(self.host.clock.now()) / 1_000_000;
+        let body = p.body.bytes.clone();
+        let mut head = Vec::with_capacity(256 + p.target.len());
+        for part in [&p.method[..], b" ", &p.target, b" HTTP/1.1\r\nHost: backend.local\r\nReq-Id: ", &p.id] {
+            head.extend_from_slice(part);
+        }
+        let rest = format!(
+            "\r\nReq-Deadline-Ms: {left}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        head.extend_from_slice(rest.as_bytes());
+        (head.into(), body)
+    }
+
+    /// Passes the events of a stream on as they come; also says whether the connection is at the end of
+    /// the answer.
+    async fn pass_on(&mut self, wire: &mut Wire, framing: Framing, load: Vec<f64>) -> (AttemptEnd, bool) {
+        let host = self.host.clone();
+        let (mut body, mut events) = (Body::new(framing), Events::default());
+        let mut end = AttemptEnd { outcome: Outcome::Reset, kept: None, load };
+        // A messages stream says itself that it is complete; the others are so at the last chunk.
+        let mut complete = host.nodes.dialect == Dialect::Chat;
+        let silence = |quiet_since: Instant| (quiet_since + host.limits.silence).into();
+        let mut quiet_since = Instant::now();
+        loop {
+            let part = match body.next(&mut wire.buf) {
+                Ok(part) => part,
+                Err(_) => return (end, false),
+            };
+            let over = part == Some(Part::End);
+            let whole = match part {
+                Some(Part::Bytes(data)) => {
+                    let whole = events.push(&data);
+                    if events.held() > host.limits.event {
+                        return (end, false);
+                    }
+                    whole
+                }
+                Some(Part::End) => match events.rest() {
+                    rest if rest.is_empty() => None,
+                    rest => Some(rest),
+                },
+                None => {
+                    // Before the stream is bound, the core keeps the time.
+                    let more = if self.bound() {
+                        tokio::time::timeout_at(silence(quiet_since), wire.more()).await
+                    } else {
+                        Ok(wire.more().await)
+                    };
+                    match more {
+                        Ok(Ok(true)) => continue,
+                        _ => return (end, false),
+                    }
+                }
+            };
+            if let Some(bytes) = whole {
+                let told = self.tell(&bytes, &mut end);
+                complete |= told.contains(&Event::Complete);
+                let failed = told.contains(&Event::Failed);
+                if !self.bound() {
+                    let (id, attempt) = (self.id, self.attempt);
+                    // Another attempt was first, or the client has gone: nothing of this one is wanted.
+                    if failed || !host.with(|core, now| core.started(now, id, attempt)) {
+                        return (AttemptEnd { outcome: Outcome::Error, ..end }, false);
+                    }
+                    self.deadline = BOUND;
+                }
+                if self.pieces.send(Piece::Events(bytes, told)).await.is_err() || failed {
+                    return (end, false);
+                }
+                quiet_since = Instant::now();
+            }
+            if over {
+                // An empty answer is none.
+                if complete && self.bound() && framing != Framing::Unstated {
+                    end.outcome = Outcome::Done;
+                }
+                return (end, true);
+            }
+        }
+    }
+
+    /// What events say; keeps what concerns the attempt's end.
+    fn tell(&self, bytes: &[u8], end: &mut AttemptEnd) -> Vec<Event> {
+        let (ours, theirs) = (self.prompt.dialect, self.host.nodes.dialect);
+        let mut told = Vec::new();
+        theirs.read(bytes, ours != theirs, &mut told);
+        for event in &told {
+            match event {
+                Event::Usage { kept: Some(kept), .. } => end.kept = Some((*kept).min(u32::MAX.into()) as u32),
+                Event::Load(report) => end.load = dialect::read_load(report, &self.host.deployment.report),
+                Event::Unknown => self.host.unknown_events.set(self.host.unknown_events.get() + 1),
+                _ => {}
+            }
+        }
+        told
+    }
+}
+
+/// The deadline of an attempt whose stream has begun: none.
+const BOUND: Nanos = Nanos::MAX;
+
+async fn read_head(wire: &mut Wire, limits: &Limits) -> Option<Head> {
+    loop {
+        match Head::answer(&mut wire.buf, limits) {
+            // What comes before the answer proper says nothing here.
+            Ok(Some(head)) if matches!(head.start, Start::Status(100..=199)) => {}
+            Ok(Some(head)) => return Some(head),
+            Ok(None) => {
+                if !wire.more().await.ok()? {
+                    return None;
+                }
+            }
+            Err(_) => return None,
+        }
+    }
+}
+
+/// Takes a short body that has arrived with its head; false if it has not.
+fn drained(wire: &mut Wire, framing: Framing) -> bool {
+    if framing == Framing::Unstated {
+        return false;
+    }
+    let mut body = Body::new(framing);
+    loop {
+        match body.next(&mut wire.buf) {
+            Ok(Some(Part::Bytes(_))) => {}
+            Ok(Some(Part::End)) => return wire.buf.is_empty(),
+            _ => return false,
+        }
+    }
+}
+
+/// Probes a node and tells the core.
+pub async fn probe(host: Rc<Host>, node: ReplicaId) {
+    let limit = host.limits.probe;
+    let end = timeout(limit, ask_health(&host, node)).await.unwrap_or_else(|_| Outcome::TimedOut.into());
+    host.with(|core, now| core.probed(now, node, end));
+}
+
+async fn ask_health(host: &Host, node: ReplicaId) -> AttemptEnd {
+    let names = &host.deployment.report;
+    let target = if names.is_empty() { "/alive" } else { "/metrics/load" };
+    let Some(addr) = host.nodes.address(node) else { return Outcome::Refused.into() };
+    let Some(mut link) = host.nodes.connect(addr).await else { return Outcome::Refused.into() };
+    let head = format!("GET {target} HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+    if link.wire.write(Bytes::from(head)).await.is_err() {
+        return Outcome::Refused.into();
+    }
+    let Some(head) = read_head(&mut link.wire, &host.limits).await else { return Outcome::Reset.into() };
+    let Ok(framing) = head.framing() else { return Outcome::Reset.into() };
+    let (mut body, mut report) = (Body::new(framing), Vec::new());
+    loop {
+        match body.next(&mut link.wire.buf) {
+            Ok(Some(Part::Bytes(data))) if report.len() + data.len() <= host.limits.head => {
+                report.extend_from_slice(&data);
+            }
+            Ok(Some(Part::End)) => break,
+            Ok(None) if matches!(link.wire.more().await, Ok(true)) => {}
+            _ => return Outcome::Reset.into(),
+        }
+    }
+    let outcome = if head.start == Start::Status(200) { Outcome::Done } else { Outcome::Error };
+    let load = dialect::read_load(&String::from_utf8_lossy(&report), names);
+    if head.keeps() && link.wire.buf.is_empty() {
+        host.nodes.give_back(addr, link);
+    }
+    AttemptEnd { outcome, kept: None, load }
+}
--- /dev/null
+++ b/router/src/peers.rs
@@ -0,0 +1,74 @@
+//! Datagrams between the routers of a deployment.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tallypin::api::PeerId;
+use tokio::net::UdpSocket;
+
+use crate::config::PeerAddresses;
+use crate::host::Host;
+
+/// The most bytes of a message; a longer one would void the run.
+pub const MOST: usize = 256;
+
+/// The way to the other routers.
+#[derive(Debug)]
+pub struct Peers {
+    socket: UdpSocket,
+    addresses: PeerAddresses,
+    me: usize,
+}
+
+impl Peers {
+    /// Listens for the other routers; `me` is the own number.
+    pub async fn new(addresses: PeerAddresses, me: PeerId) -> io::Result<Peers> {
+        let socket = UdpSocket::bind(addresses.listen).await?;
+        Ok(Peers { socket, addresses, me: me.0 as usize })
+    }
+
+    /// Tells all other routers. What cannot go out at once is lost, as it may be on the way.
+    pub fn tell(&self, bytes: &[u8]) {
+        if bytes.len() > MOST {
+            eprintln!("peers: a message of {} bytes was dropped, {MOST} are the most", bytes.len());
+            return;
+        }
+        match self.addresses.all {
+            Some(all) => drop(self.socket.try_send_to(bytes, all)),
+            None => {
+                let others = self.addresses.each.iter().enumerate().filter(|(i, _)| *i != self.me);
+                others.for_each(|(_, to)| drop(self.socket.try_send_to(bytes, *to)));
+            }
+        }
+    }
+
+    /// The next message, and the number of the router that it came from.
+    pub async fn next(&self) -> (PeerId, Vec<u8>) {
+        // One byte more than a message may have, to tell a longer one.
+        let mut buf = [0u8; MOST + 1];
+        loop {
+            let Ok((n, from)) = self.socket.recv_from(&mut buf).await else {
+                tokio::task::yield_now().await;
+                continue;
+            };
+            // Whoever is not among the peers, or says too much, is not heard.
+            if let Some(i) = self.number(from).filter(|_| n <= MOST) {
+                return (PeerId(i as u32), buf[..n].to_vec());
+            }
+        }
+    }
+
+    fn number(&self, from: SocketAddr) -> Option<usize> {
+        self.addresses.each.iter().position(|a| *a == from)
+    }
+}
+
+/// Hands what the other routers say to the core. Ends never.
+pub async fn listen(host: Rc<Host>) {
+    let Some(peers) = &host.peers else { return };
+    loop {
+        let (from, bytes) = peers.next().await;
+        host.with(|core, now| core.peer(now, from, bytes));
+    }
+}
--- /dev/null
+++ b/router/src/shutdown.rs
@@ -0,0 +1,80 @@
+//! The planned end: on SIGTERM clients still come for a grace time and are served; then idle connections
+//! close, what was taken is finished, and the program ends.
+
+use std::rc::Rc;
+
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::host::Host;
+
+/// How far the end has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Not begun.
+    Serving,
+    /// The order has come; who still comes is served.
+    Grace,
+    /// No new connections; each open one closes after what it carries.
+    Closing,
+}
+
+/// The stage, for all tasks to see.
+#[derive(Debug)]
+pub struct Drain {
+    stage: watch::Sender<Stage>,
+}
+
+impl Drain {
+    /// Serving.
+    pub fn new() -> Drain {
+        Drain { stage: watch::Sender::new(Stage::Serving) }
+    }
+
+    /// The present stage.
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Goes on to a stage.
+    pub fn enter(&self, stage: Stage) {
+        self.stage.send_replace(stage);
+    }
+
+    /// Waits for a stage, or a later one.
+    pub async fn reached(&self, stage: Stage) {
+        // It fails only when the sender is gone, and that is `self`.
+        let _ = self.stage.subscribe().wait_for(|s| *s >= stage).await;
+    }
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Drain::new()
+    }
+}
+
+/// Ends the router when the program is told to: returns when all that was taken is finished.
+pub async fn on_signal(host: Rc<Host>) -> std::io::Result<()> {
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    drain(&host).await;
+    Ok(())
+}
+
+/// Goes through the stages to the end.
+pub async fn drain(host: &Rc<Host>) {
+    host.drain.enter(Stage::Grace);
+    sleep(host.limits.grace).await;
+    host.drain.enter(Stage::Closing);
+    let finished = async {
+        while host.clients.get() > 0 {
+            host.client_closed.notified().await;
+        }
+    };
+    let _ = timeout(host.limits.finish, finished).await;
+}
