--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -112,7 +112,8 @@
     /// Reads a configuration.
     pub fn parse(text: &str) -> Result<Config, Malformed> {
         let file: File = crate::config::read(text)?;
-        let deployment = settings::parse(file.settings.get()).map_err(|e| Malformed::new("settings", e))?;
+        let deployment = settings::parse(file.settings.get())
+            .map_err(|e| Malformed::new(&format!("settings.{}", e.path()), e.inner()))?;
         deployment.decisions.check().map_err(|e| Malformed::new("settings", e))?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| Malformed::new("seed", "not 1 to 16 hex digits"))?;
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -54,8 +54,8 @@
     Served,
     /// The stream broke after it had begun.
     Broken,
-    /// Refused: trying again is harmless, best after so long (0: no advice).
-    Refused(Nanos),
+    /// Refused: trying again is harmless, best after so long (0: no advice); and for what.
+    Refused(Nanos, Refusal),
     /// Failed; in time, or for want of time.
     Failed {
         /// The client's deadline had come.
@@ -321,8 +321,8 @@
     fn act(&mut self, now: Nanos, action: Action) {
         match action {
             Action::Send { request, replica, limit } => self.begin(now, request, replica, limit),
-            Action::Refuse { request, retry_after } => {
-                self.answer(request, FinalAnswer::Refused(retry_after));
+            Action::Refuse { request, retry_after, why } => {
+                self.answer(request, FinalAnswer::Refused(retry_after, why));
                 self.close_attempts(now, request, None);
             }
             Action::Fail(request) => {
@@ -368,7 +368,7 @@
         match with {
             FinalAnswer::Served => self.tallies.served += 1,
             FinalAnswer::Broken => self.tallies.broken += 1,
-            FinalAnswer::Refused(_) => self.tallies.refused += 1,
+            FinalAnswer::Refused(..) => self.tallies.refused += 1,
             FinalAnswer::Failed { .. } => self.tallies.failed += 1,
         }
         self.orders.push(Order::Answer(id, with));
--- a/router/src/dialect.rs
+++ b/router/src/dialect/mod.rs
@@ -1,9 +1,15 @@
 //! The vocabularies in which model nodes name the events of a stream, read into neutral events and
 //! written from them. Where both sides speak the same dialect no byte of a stream is touched.
 
+mod request;
+mod write;
+
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
+pub use request::Asked;
+pub use write::{Answer, ChatWriter, MessagesWriter};
+
 /// A vocabulary.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -145,9 +151,24 @@
     })
 }
 
+impl Event {
+    /// Whether a stream has begun with this: a sign of life or an unknown event is no beginning.
+    pub fn begins(&self) -> bool {
+        !matches!(self, Event::Quiet | Event::Unknown | Event::Load(_))
+    }
+}
+
 impl Dialect {
-    /// Reads whole events into neutral ones. With `text` false, text may be told as [`Event::Quiet`]:
-    /// who passes bytes on untouched does not need it.
+    /// The path of requests to a node.
+    pub fn path(self) -> &'static [u8] {
+        match self {
+            Dialect::Chat => b"/v1/chat/completions",
+            Dialect::Messages => b"/v1/messages",
+        }
+    }
+
+    /// Reads whole events into neutral ones. With `text` false, text may be told empty: who
+    /// passes bytes on untouched does not need it.
     pub fn read(self, events: &[u8], text: bool, to: &mut Vec<Event>) {
         let (mut name, mut data) = (&b""[..], Vec::new());
         for line in events.split(|b| *b == b'\n') {
@@ -186,7 +207,7 @@
                 // An event without a count or an error has text only: it need not be taken apart.
                 let told = |word: &[u8]| data.windows(word.len()).any(|w| w == word);
                 if !text && name.is_empty() && !told(b"\"usage\"") && !told(b"\"error\"") {
-                    return to.push(Event::Quiet);
+                    return to.push(Event::Text(String::new()));
                 }
                 match serde_json::from_slice::<Object>(data) {
                     Ok(o) if name.is_empty() && o.choices.is_some() || o.error.is_some() => chat(o, to),
--- /dev/null
+++ b/router/src/front/messages.rs
@@ -0,0 +1,320 @@
+//! The messages API: the second front. It names the events of a stream differently, and goes through the
+//! same core. What it listens on, which class a model belongs to and how partners are recognised stands in
+//! a file (`deploy/messages.json`); `docs/MESSAGES.md` has the mapping.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::json;
+use tallypin::api::{ClassId, Nanos, Refusal, TenantId};
+use tallypin::names;
+use tallypin::settings::Deployment;
+
+use super::{next, retry_after, write, write_chunk, write_whole, Incoming, Next, Then, Turned};
+use crate::config::{self, Malformed};
+use crate::core::{Ask, FinalAnswer};
+use crate::dialect::{Answer, Asked, Dialect, Event, MessagesWriter};
+use crate::host::{HeldBody, Host, Piece, Prompt};
+use crate::http::{Bad, Wire};
+
+/// The path of requests.
+const PATH: &[u8] = b"/v1/messages";
+/// A wait above this is no wait.
+const ABSURD_MS: u64 = 24 * 3600 * 1000;
+
+const LATE: &str = "nothing came in time";
+
+const BEGUN: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
+                     Transfer-Encoding: chunked\r\nRequest-Id: ";
+
+/// How a partner is recognised.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PartnerRule {
+    /// By this header field,
+    pub header: String,
+    /// whose values mean these partners.
+    pub values: BTreeMap<String, String>,
+    /// The partner of a request without it.
+    #[serde(default)]
+    pub otherwise: Option<String>,
+}
+
+/// The file of this front.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MessagesFile {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where agent checks of balancers are answered, if at all.
+    #[serde(default)]
+    pub agent_check: Option<SocketAddr>,
+    /// The dialect of the model nodes.
+    pub nodes: Dialect,
+    /// The class of each model.
+    pub models: BTreeMap<String, String>,
+    /// How a partner is recognised.
+    pub partner: PartnerRule,
+    /// The header field in which a client says how long it waits for the first event.
+    #[serde(default = "deadline_header")]
+    pub deadline_header: String,
+}
+
+fn deadline_header() -> String {
+    "x-deadline-ms".into()
+}
+
+/// This front, its names looked up in a deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MessagesFront {
+    /// The file.
+    pub file: MessagesFile,
+    models: BTreeMap<String, ClassId>,
+    partners: BTreeMap<String, TenantId>,
+    otherwise: Option<TenantId>,
+}
+
+impl MessagesFront {
+    /// Reads the file; what it names must be there in the deployment.
+    pub fn parse(text: &str, of: &Deployment) -> Result<MessagesFront, Malformed> {
+        let file: MessagesFile = config::read(text)?;
+        let class = |(model, name): (&String, &String)| {
+            let at = of.classes.iter().position(|c| c.name == *name);
+            let unknown = || Malformed::new(&format!("models.{model}"), format!("no class {name}"));
+            Ok((model.clone(), ClassId(at.ok_or_else(unknown)? as u32)))
+        };
+        let partner = |field: &str, name: &String| match of.partners.iter().position(|p| p == name) {
+            Some(at) => Ok(TenantId(at as u32)),
+            None => Err(Malformed::new(field, format!("no partner {name}"))),
+        };
+        let models = file.models.iter().map(class).collect::<Result<_, _>>()?;
+        let values = file.partner.values.iter();
+        let partners = values
+            .map(|(value, name)| Ok((value.clone(), partner(&format!("partner.values.{value}"), name)?)))
+            .collect::<Result<_, _>>()?;
+        let otherwise = file.partner.otherwise.as_ref();
+        let otherwise = otherwise.map(|name| partner("partner.otherwise", name)).transpose()?;
+        Ok(MessagesFront { file, models, partners, otherwise })
+    }
+}
+
+/// A request of this front that was understood.
+struct Understood {
+    ask: Ask,
+    asked: Asked,
+    /// The body as model nodes are to get it; `None`: as it came.
+    body: Option<Vec<u8>>,
+}
+
+/// Why not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Unfit {
+    /// With the front's own words.
+    Invalid(String),
+    NoModel(String),
+    Turned(Turned),
+}
+
+impl From<Bad> for Unfit {
+    fn from(bad: Bad) -> Self {
+        Unfit::Turned(bad.into())
+    }
+}
+
+impl MessagesFront {
+    fn read(&self, host: &Host, request: &Incoming, now: Nanos) -> Result<Understood, Unfit> {
+        if request.path() != PATH {
+            return Err(Unfit::Turned(Turned::NotFound));
+        }
+        if &request.method[..] != b"POST" {
+            return Err(Unfit::Turned(Turned::Method));
+        }
+        if !request.head.current {
+            return Err(Bad::Malformed.into());
+        }
+        let asked = Asked::messages(&request.body.bytes).map_err(Unfit::Invalid)?;
+        let class = *self.models.get(&asked.model).ok_or_else(|| Unfit::NoModel(asked.model.clone()))?;
+        let rule = &self.file.partner;
+        let partner = match request.head.text(&rule.header)? {
+            Some(value) => self.partners.get(value).copied(),
+            None => self.otherwise,
+        };
+        let unknown = || Unfit::Invalid(format!("{}: not a known partner", rule.header));
+        let partner = partner.ok_or_else(unknown)?;
+        let wait = match request.head.text(&self.file.deadline_header)? {
+            None => host.deployment.classes[class.0 as usize].deadline,
+            Some(ms) => {
+                let ms = ms.parse().ok().filter(|ms| (1..=ABSURD_MS).contains(ms));
+                let bad = || Unfit::Invalid(format!("{}: not a wait", self.file.deadline_header));
+                ms.ok_or_else(bad)? * 1_000_000
+            }
+        };
+        // One token is four characters. Conversations share their system prompt, and each has its own
+        // first message, which all its turns begin with.
+        let tokens = |text: usize| u32::try_from(text / 4).unwrap_or(u32::MAX);
+        let beginning = [asked.model.as_bytes(), b"\0", asked.system.as_bytes()].concat();
+        let session = [&beginning[..], b"\0", asked.first_message().as_bytes()].concat();
+        let ask = Ask {
+            class,
+            partner,
+            left: request.left(now, wait),
+            prompt_tokens: tokens(asked.length()),
+            beginning_tokens: tokens(asked.system.len()),
+            session: Some(names::session(&session)),
+            beginning: (!asked.system.is_empty()).then(|| names::beginning(&beginning)),
+            returned: request.head.one("x-resume-of")?.is_some() && asked.continues(),
+        };
+        let body = match host.nodes.dialect {
+            Dialect::Messages if asked.stream => None,
+            Dialect::Messages => Some(asked.streaming_body()),
+            Dialect::Chat => Some(asked.chat_body()),
+        };
+        Ok(Understood { ask, asked, body })
+    }
+
+    /// Answers one request.
+    pub async fn answer(&self, host: &Rc<Host>, wire: &mut Wire, request: Incoming) -> io::Result<Then> {
+        let Understood { ask, asked, body } = match self.read(host, &request, host.clock.now()) {
+            Ok(understood) => understood,
+            Err(why) => return refuse(host, wire, why).await,
+        };
+        if host.full() {
+            return turn(host, wire, Turned::Full).await;
+        }
+        let body = match body {
+            None => request.body,
+            // The translated body takes the place of the one that came.
+            Some(body) => match host.reserve(body.len()) {
+                Some(reserved) => HeldBody { bytes: body.into(), reserved },
+                None => return turn(host, wire, Turned::Full).await,
+            },
+        };
+        let same = host.nodes.dialect == Dialect::Messages;
+        let id = host.name_request();
+        let (prompt_tokens, deadline) = (ask.prompt_tokens, host.clock.now().saturating_add(ask.left));
+        let prompt = Prompt {
+            id: Bytes::from(id.clone()),
+            method: Bytes::from_static(b"POST"),
+            target: Bytes::from_static(host.nodes.dialect.path()),
+            body,
+            text: !(same && asked.stream),
+        };
+        let mut ticket = host.submit(ask, prompt);
+        let mut head = Bytes::from(format!("{BEGUN}{id}\r\n\r\n"));
+        let mut writer = MessagesWriter::new(&id, &asked.model, prompt_tokens);
+        let (mut whole, mut failed) = (Answer::default(), false);
+        loop {
+            let piece = match next(host, wire, &mut ticket).await {
+                Next::Piece(piece) => piece,
+                Next::Left => return Ok(Then::Close),
+            };
+            match piece {
+                Piece::Events(bytes, told) if asked.stream => {
+                    failed |= told.contains(&Event::Failed);
+                    let bytes = if same { bytes } else { writer.write(&told) };
+                    if !bytes.is_empty() {
+                        write_chunk(host, wire, std::mem::take(&mut head), bytes).await?;
+                    }
+                }
+                Piece::Events(_, told) => {
+                    told.into_iter().for_each(|event| whole.take(event));
+                    if whole.text.len() > host.limits.whole_answer {
+                        return error(host, wire, 500, "", "the answer is too long to be given whole").await;
+                    }
+                }
+                Piece::Answer(FinalAnswer::Served) if asked.stream => {
+                    let rest = if same { Bytes::new() } else { writer.finish() };
+                    if !rest.is_empty() {
+                        write_chunk(host, wire, std::mem::take(&mut head), rest).await?;
+                    }
+                    write(host, wire, &b"0\r\n\r\n"[..]).await?;
+                    return Ok(Then::Next);
+                }
+                Piece::Answer(FinalAnswer::Served) => {
+                    let fields = format!("Content-Type: application/json\r\nRequest-Id: {id}\r\n");
+                    let message = whole.message(&id, &asked.model, prompt_tokens);
+                    write_whole(host, wire, 200, &fields, message.to_string().into()).await?;
+                    return Ok(Then::Next);
+                }
+                // No `message_stop`, no last chunk: the client knows where it stands, and asks for the rest.
+                Piece::Answer(FinalAnswer::Broken) if asked.stream => {
+                    if !(same && failed) {
+                        let shape = shape("api_error", "the stream broke; x-resume-of asks for the rest");
+                        let event = format!("event: error\ndata: {shape}\n\n");
+                        write_chunk(host, wire, std::mem::take(&mut head), event.into()).await?;
+                    }
+                    return Ok(Then::Close);
+                }
+                Piece::Answer(FinalAnswer::Broken) => {
+                    return error(host, wire, 500, "", "the answer broke off").await;
+                }
+                // Refused only when its time was up: that is what the client has to know.
+                Piece::Answer(FinalAnswer::Refused(advice, Refusal::Room))
+                    if host.clock.now() >= deadline =>
+                {
+                    return error(host, wire, 504, &come_back(host, advice), LATE).await;
+                }
+                Piece::Answer(FinalAnswer::Refused(advice, why)) => {
+                    let (status, why) = match why {
+                        Refusal::Share => (429, "over the partner's share"),
+                        Refusal::Room => (529, "no model node would begin in time"),
+                    };
+                    return error(host, wire, status, &come_back(host, advice), why).await;
+                }
+                Piece::Answer(FinalAnswer::Failed { late: true }) => {
+                    return error(host, wire, 504, &come_back(host, 0), LATE).await;
+                }
+                Piece::Answer(FinalAnswer::Failed { late: false }) => {
+                    return error(host, wire, 500, "", "no attempt succeeded").await;
+                }
+            }
+        }
+    }
+}
+
+/// Clients of this API want whole seconds; a second field has the finer advice.
+fn come_back(host: &Host, advice: Nanos) -> String {
+    let seconds = retry_after(host, advice);
+    format!("Retry-After: {:.0}\r\nRetry-After-Ms: {:.0}\r\n", seconds.ceil(), (seconds * 1e3).ceil())
+}
+
+fn shape(kind: &str, message: &str) -> serde_json::Value {
+    json!({"type": "error", "error": {"type": kind, "message": message}})
+}
+
+async fn error(host: &Host, wire: &mut Wire, status: u16, fields: &str, why: &str) -> io::Result<Then> {
+    let kind = match status {
+        404 => "not_found_error",
+        413 => "request_too_large",
+        429 => "rate_limit_error",
+        504 => "timeout_error",
+        529 => "overloaded_error",
+        500.. => "api_error",
+        _ => "invalid_request_error",
+    };
+    let fields = format!("{fields}Content-Type: application/json\r\n");
+    write_whole(host, wire, status, &fields, shape(kind, why).to_string().into()).await?;
+    Ok(Then::Next)
+}
+
+async fn refuse(host: &Host, wire: &mut Wire, why: Unfit) -> io::Result<Then> {
+    match why {
+        Unfit::Invalid(why) => error(host, wire, 400, "", &why).await,
+        Unfit::NoModel(model) => error(host, wire, 404, "", &format!("model: {model}")).await,
+        Unfit::Turned(why) => turn(host, wire, why).await,
+    }
+}
+
+/// Answers what is no request that could be taken.
+pub async fn turn(host: &Host, wire: &mut Wire, why: Turned) -> io::Result<Then> {
+    let (status, fields) = match why {
+        Turned::Full => (529, come_back(host, 0)),
+        Turned::Method => (405, "Allow: POST\r\n".into()),
+        why => (why.status(), String::new()),
+    };
+    error(host, wire, status, &fields, crate::http::reason(status)).await
+}
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -1,12 +1,14 @@
 //! The fronts: what clients speak, turned into core requests, and outcomes turned back. Here stands what
 //! they share: accepting, reading a request, refusing what is not one.
 
+pub mod messages;
 pub mod platform;
 
 use std::io;
 use std::rc::Rc;
 
 use bytes::{Buf, Bytes};
+pub use messages::MessagesFront;
 use tallypin::api::Nanos;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -20,6 +22,8 @@
 pub enum Front {
     /// The platform's protocol.
     Platform,
+    /// The messages API.
+    Messages(Box<MessagesFront>),
 }
 
 /// A request as it was read.
@@ -143,7 +147,9 @@
             Err(_) => return,
         };
         let (keeps, then) = match request {
-            Ok(r) if crowded && !health::asks(&r) => (false, front.turn(host, &mut wire, Turned::Full).await),
+            Ok(r) if crowded && !front.asks_health(&r) => {
+                (false, front.turn(host, &mut wire, Turned::Full).await)
+            }
             Ok(request) => (request.head.keeps(), front.answer(host, &mut wire, request).await),
             Err(turned) => (false, front.turn(host, &mut wire, turned).await),
         };
@@ -298,18 +304,30 @@
 }
 
 impl Front {
+    /// Whether a request asks for the router's state.
+    fn asks_health(&self, request: &Incoming) -> bool {
+        let here = match self {
+            Front::Platform => request.path() == b"/up",
+            Front::Messages(_) => matches!(request.path(), b"/up" | b"/healthz"),
+        };
+        here && matches!(&request.method[..], b"GET" | b"HEAD")
+    }
+
     async fn answer(&self, host: &Rc<Host>, wire: &mut Wire, request: Incoming) -> io::Result<Then> {
-        if health::asks(&request) {
-            return health::answer(host, wire).await.map(|()| Then::Next);
+        if self.asks_health(&request) {
+            let bodiless = &request.method[..] == b"HEAD";
+            return health::answer(host, wire, bodiless).await.map(|()| Then::Next);
         }
         match self {
             Front::Platform => platform::answer(host, wire, request).await,
+            Front::Messages(front) => front.answer(host, wire, request).await,
         }
     }
 
     async fn turn(&self, host: &Host, wire: &mut Wire, why: Turned) -> io::Result<Then> {
         match self {
             Front::Platform => platform::turn(host, wire, why).await,
+            Front::Messages(_) => messages::turn(host, wire, why).await,
         }
     }
 }
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use tallypin::api::{ClassId, Nanos, TenantId};
+use tallypin::api::{ClassId, Nanos, Refusal, TenantId};
 use tallypin::names;
 
 use super::{next, retry_after, write, write_chunk, write_whole, Incoming, Next, Then, Turned};
 use crate::core::{Ask, FinalAnswer};
-use crate::dialect::Dialect;
-use crate::host::{Host, Piece, Prompt};
+use crate::dialect::{Asked, ChatWriter, Dialect};
+use crate::host::{HeldBody, Host, Piece, Prompt};
 use crate::http::{Bad, Wire};
 
 /// The path of requests.
@@ -83,24 +83,44 @@
     if host.full() {
         return turn(host, wire, Turned::Full).await;
     }
-    let Incoming { method, target, body, .. } = request;
-    let prompt = Prompt { id, method, target, body, dialect: Dialect::Chat };
+    let same = host.nodes.dialect == Dialect::Chat;
+    let Incoming { method, mut target, mut body, .. } = request;
+    if !same {
+        // An old client, newer model nodes: the one case in which this front is not thin.
+        let Ok(asked) = Asked::chat(&body.bytes) else {
+            return turn(host, wire, Bad::Malformed.into()).await;
+        };
+        let bytes = asked.messages_body(host.limits.answer_tokens);
+        let Some(reserved) = host.reserve(bytes.len()) else { return turn(host, wire, Turned::Full).await };
+        (target, body) =
+            (Bytes::from_static(host.nodes.dialect.path()), HeldBody { bytes: bytes.into(), reserved });
+    }
+    let prompt = Prompt { id, method, target, body, text: !same };
     let mut ticket = host.submit(ask, prompt);
+    let mut writer = ChatWriter::default();
     let mut head = Bytes::from_static(BEGUN);
     loop {
         match next(host, wire, &mut ticket).await {
-            Next::Piece(Piece::Events(bytes, _)) => {
+            Next::Piece(Piece::Events(bytes, told)) => {
+                let bytes = if same { bytes } else { writer.write(&told) };
+                if bytes.is_empty() {
+                    continue;
+                }
                 write_chunk(host, wire, std::mem::take(&mut head), bytes).await?;
             }
             Next::Piece(Piece::Answer(FinalAnswer::Served)) => {
+                if !same {
+                    write_chunk(host, wire, std::mem::take(&mut head), writer.finish()).await?;
+                }
                 write(host, wire, &b"0\r\n\r\n"[..]).await?;
                 return Ok(Then::Next);
             }
             // Without the last chunk, so that the client knows that this is not the end.
             Next::Piece(Piece::Answer(FinalAnswer::Broken)) | Next::Left => return Ok(Then::Close),
-            Next::Piece(Piece::Answer(FinalAnswer::Refused(advice))) => {
+            Next::Piece(Piece::Answer(FinalAnswer::Refused(advice, why))) => {
                 let fields = format!("Retry-After: {:.3}\r\n", retry_after(host, advice));
-                write_whole(host, wire, 503, &fields, Bytes::from_static(b"refused\n")).await?;
+                let status = if why == Refusal::Share { 429 } else { 503 };
+                write_whole(host, wire, status, &fields, Bytes::from_static(b"refused\n")).await?;
                 return Ok(Then::Next);
             }
             Next::Piece(Piece::Answer(FinalAnswer::Failed { late })) => {
--- a/router/src/health.rs
+++ b/router/src/health.rs
@@ -3,13 +3,20 @@
 use std::fmt;
 use std::io;
 
+use std::rc::Rc;
+use std::time::Duration;
+
 use bytes::Bytes;
+use tokio::net::TcpListener;
 
-use crate::front::{write_whole, Incoming};
+use crate::front::{write, write_whole};
 use crate::host::Host;
-use crate::http::Wire;
+use crate::http::{reason, Wire};
 use crate::shutdown::Stage;
 
+/// The longest that a slow or failing check may take.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// The state of a router.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -40,21 +47,38 @@
 impl fmt::Display for State {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            State::Up(percent) => write!(f, "up {percent}%"),
+            State::Up(percent) => write!(f, "up ready {percent}%"),
             State::Drain => write!(f, "drain"),
             State::Down => write!(f, "down"),
         }
     }
 }
 
-/// Whether a request asks for the state.
-pub fn asks(request: &Incoming) -> bool {
-    matches!(&request.method[..], b"GET" | b"HEAD") && matches!(request.path(), b"/up" | b"/healthz")
-}
-
-/// Answers such a request.
-pub async fn answer(host: &Host, wire: &mut Wire) -> io::Result<()> {
+/// Answers a request for the state. To a HEAD request the body is left out, its length is not.
+pub async fn answer(host: &Host, wire: &mut Wire, bodiless: bool) -> io::Result<()> {
     let state = State::of(host);
     let status = if matches!(state, State::Up(_)) { 200 } else { 503 };
-    write_whole(host, wire, status, "Content-Type: text/plain\r\n", Bytes::from(format!("{state}\n"))).await
+    let text = format!("{state}\n");
+    let fields = "Content-Type: text/plain\r\n";
+    if bodiless {
+        let (why, length) = (reason(status), text.len());
+        let head = format!("HTTP/1.1 {status} {why}\r\n{fields}Content-Length: {length}\r\n\r\n");
+        return write(host, wire, Bytes::from(head)).await;
+    }
+    write_whole(host, wire, status, fields, Bytes::from(text)).await
+}
+
+/// Answers agent checks: one line to each connection, which then closes. `ready` takes back an earlier
+/// `drain`, as a balancer keeps that until told otherwise. Ends never.
+pub async fn agent(host: Rc<Host>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        // Answered in turn: a balancer asks every few seconds, and none can hold up the next for long.
+        let line = format!("{}\n", State::of(&host));
+        let mut wire = Wire::new(stream);
+        let _ = tokio::time::timeout(PAUSE, wire.write(Bytes::from(line))).await;
+    }
 }
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -2,6 +2,7 @@
 //! orders. All tasks run on one thread; the core is borrowed only between two awaits, never across one.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,7 +18,8 @@
 use crate::dialect::{Dialect, Event};
 use crate::limits::Limits;
 use crate::node::{self, Nodes};
-use crate::peers::Peers;
+use crate::node_list;
+use crate::peers::{self, Peers};
 use crate::shutdown::Drain;
 
 /// The module's clock: monotonic, and set to Unix time once at the start. So the starting times of model
@@ -79,8 +81,8 @@
     pub target: Bytes,
     /// The body, counted among those held.
     pub body: HeldBody,
-    /// The client's dialect.
-    pub dialect: Dialect,
+    /// The front wants the text of events, not only their bytes.
+    pub text: bool,
 }
 
 /// A part of the budget for bodies, given back when it is dropped.
@@ -147,6 +149,8 @@
     waiting: RefCell<FxHashMap<RequestId, Waiting>>,
     attempts: RefCell<FxHashMap<(RequestId, u32), AbortHandle>>,
     bodies: Rc<Cell<usize>>,
+    /// The seed, and how many requests were given a name.
+    named: (u64, Cell<u64>),
     due: Cell<Option<Nanos>>,
     due_sooner: Notify,
 }
@@ -171,6 +175,7 @@
             waiting: RefCell::default(),
             attempts: RefCell::default(),
             bodies: Rc::new(Cell::new(limits.bodies)),
+            named: (seed, Cell::new(0)),
             due: Cell::new(None),
             due_sooner: Notify::new(),
             deployment,
@@ -201,6 +206,12 @@
         Some(Reserved { size, budget: self.bodies.clone() })
     }
 
+    /// A name for a request whose client gives none. The seed is another at every start and router.
+    pub fn name_request(&self) -> String {
+        self.named.1.set(self.named.1.get() + 1);
+        format!("msg_{:016x}{:08x}", self.named.0, self.named.1.get())
+    }
+
     /// Whether another request may be opened.
     pub fn full(&self) -> bool {
         self.core.borrow().open() >= self.limits.open
@@ -235,7 +246,7 @@
                 Order::Answer(id, answer) => {
                     let Some(w) = self.waiting.borrow_mut().remove(&id) else { continue };
                     // The end of a begun stream follows its events, from the task that passes them on.
-                    if matches!(answer, FinalAnswer::Refused(_) | FinalAnswer::Failed { .. }) {
+                    if matches!(answer, FinalAnswer::Refused(..) | FinalAnswer::Failed { .. }) {
                         // Nothing was sent before it, so there is room.
                         let _ = w.pieces.try_send(Piece::Answer(answer));
                     }
@@ -258,6 +269,21 @@
         self.attempts.borrow_mut().remove(&(id, attempt));
     }
 
+    /// Starts what a router does beside its clients.
+    pub fn start(self: &Rc<Self>, node_list: SocketAddr) {
+        tokio::task::spawn_local(self.clone().keep_time());
+        tokio::task::spawn_local(peers::listen(self.clone()));
+        tokio::task::spawn_local(node_list::keep(self.clone(), node_list));
+        let host = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut every = tokio::time::interval(host.limits.idle_node / 16);
+            loop {
+                every.tick().await;
+                host.nodes.sweep();
+            }
+        });
+    }
+
     /// Wakes the core whenever something falls due. Ends never.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -15,6 +15,10 @@
     pub body: usize,
     /// The largest event of a stream, bytes.
     pub event: usize,
+    /// The longest text of an answer that a client wants whole, bytes.
+    pub whole_answer: usize,
+    /// The most tokens of an answer whose client names no bound, where the node wants one.
+    pub answer_tokens: u64,
     /// The largest line of the node list, bytes.
     pub list_line: usize,
     /// What bodies may take together, bytes.
@@ -68,6 +72,8 @@
             fields: 64,
             body: 256 << 10,
             event: 256 << 10,
+            whole_answer: 1 << 20,
+            answer_tokens: 4096,
             list_line: 4 << 20,
             bodies: (memory_mb << 20) / 4,
             clients: usable.saturating_sub(node_connections + refused).max(2),
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use rustc_hash::FxHashMap;
 use tallypin::api::{Nanos, Outcome, ReplicaId, RequestId};
 use tokio::net::TcpStream;
@@ -258,6 +258,7 @@
     async fn pass_on(&mut self, wire: &mut Wire, framing: Framing, load: Vec<f64>) -> (AttemptEnd, bool) {
         let host = self.host.clone();
         let (mut body, mut events) = (Body::new(framing), Events::default());
+        let (mut held, mut held_told) = (BytesMut::new(), Vec::new());
         let mut end = AttemptEnd { outcome: Outcome::Reset, kept: None, load };
         // A messages stream says itself that it is complete; the others are so at the last chunk.
         let mut complete = host.nodes.dialect == Dialect::Chat;
@@ -294,11 +295,17 @@
                     }
                 }
             };
-            if let Some(bytes) = whole {
-                let told = self.tell(&bytes, &mut end);
+            if let Some(mut bytes) = whole {
+                let mut told = self.tell(&bytes, &mut end);
                 complete |= told.contains(&Event::Complete);
                 let failed = told.contains(&Event::Failed);
                 if !self.bound() {
+                    held.extend_from_slice(&bytes);
+                    held_told.append(&mut told);
+                    if !failed && !held_told.iter().any(Event::begins) && held.len() <= host.limits.event {
+                        continue; // A sign of life, or what nobody knows, binds nothing.
+                    }
+                    (bytes, told) = (held.split().freeze(), std::mem::take(&mut held_told));
                     let (id, attempt) = (self.id, self.attempt);
                     // Another attempt was first, or the client has gone: nothing of this one is wanted.
                     if failed || !host.with(|core, now| core.started(now, id, attempt)) {
@@ -323,9 +330,8 @@
 
     /// What events say; keeps what concerns the attempt's end.
     fn tell(&self, bytes: &[u8], end: &mut AttemptEnd) -> Vec<Event> {
-        let (ours, theirs) = (self.prompt.dialect, self.host.nodes.dialect);
         let mut told = Vec::new();
-        theirs.read(bytes, ours != theirs, &mut told);
+        self.host.nodes.dialect.read(bytes, self.prompt.text, &mut told);
         for event in &told {
             match event {
                 Event::Usage { kept: Some(kept), .. } => end.kept = Some((*kept).min(u32::MAX.into()) as u32),
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -25,6 +25,8 @@
     /// Listens for the other routers; `me` is the own number.
     pub async fn new(addresses: PeerAddresses, me: PeerId) -> io::Result<Peers> {
         let socket = UdpSocket::bind(addresses.listen).await?;
+        // Until the runtime has seen that it can be written, what is sent at once would be lost.
+        socket.writable().await?;
         Ok(Peers { socket, addresses, me: me.0 as usize })
     }
 
--- /dev/null
+++ b/router/tests/common/mod.rs
@@ -0,0 +1,397 @@
+//! A router in the test's own process, stand-in model nodes of both dialects, and a plain client.
+#![allow(dead_code, missing_docs)]
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tallypin::api::ListKind;
+use tallypin_router::config::Config;
+use tallypin_router::core::Tallies;
+use tallypin_router::dialect::Dialect;
+use tallypin_router::front::{self, Front, MessagesFront};
+use tallypin_router::host::Host;
+use tallypin_router::limits::Limits;
+use tallypin_router::node_list::{self, Page, Row};
+use tallypin_router::peers::Peers;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+pub const CONFIG: &str = r#"{
+ "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+ "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+ "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:0"],
+ "settings": {
+  "Discovery": "on_request", "Family": "llm", "Me": 0, "MyZone": 0, "ReplicasOfMe": 2,
+  "FamilyInfo": {"AimUsPer1000PromptTokens": [60000.0, 30000.0], "Resume": true},
+  "Kinds": ["gpu-neu", "gpu-alt"], "Zones": ["rz-garching"],
+  "Limits": {"Cancel": true, "ConnectTimeoutNs": 150000000, "IdleCloseNs": 5000000000,
+   "MaxRetryAfterNs": 2000000000, "MostHeld": 1000, "ParallelTries": true, "Peers": true, "Probes": true,
+   "RetryAfter": true, "TryLimit": 4},
+  "Profiles": [{"DeadlineNs": 4000000000, "Effect": "pure", "GoalTimeNs": 1200000000, "Name": "chat"},
+   {"DeadlineNs": 6000000000, "Effect": "pure", "GoalTimeNs": 1500000000, "Name": "belege"}],
+  "Report": {"Fields": ["fail_rate", "lat_ms", "q"], "Via": "answers"},
+  "Rules": {"AnswerSlackNs": 16000000, "ColdNs": 23000000000, "ColdShare": 0.15, "MustAskInNs": 1000000000},
+  "Tenants": [{"Name": "haendlerbund", "QuotaPerS": 1000.0}, {"Name": "grenzstellen", "QuotaPerS": 0.001}]
+ }}"#;
+
+pub fn config() -> Config {
+    Config::parse(CONFIG).expect("the configuration is good")
+}
+
+/// Runs a test on one thread, and ends it if it hangs.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let tasks = tokio::task::LocalSet::new();
+    tasks.block_on(&runtime, async {
+        tokio::time::timeout(Duration::from_secs(20), test).await.expect("the test hangs")
+    });
+}
+
+/// What a stand-in node does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// An event that no dialect names, in the middle.
+    UnknownEvent,
+    /// The stream breaks right after its first text.
+    Break,
+    /// The stream stops after its first text, and the connection stays.
+    Silence,
+    /// Turned away unseen.
+    Decline,
+    Error,
+    /// The connection breaks before the answer.
+    Reset,
+    /// The first event takes a while.
+    Slow,
+    /// Nothing ever comes.
+    Mute,
+    /// Text without end.
+    Flood,
+}
+
+/// What a stand-in node saw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Seen {
+    Connected,
+    Request(String, Vec<u8>),
+    /// The router closed the connection in the middle of an answer.
+    GivenUp,
+}
+
+/// What the next requests meet, in their order; nodes may share it.
+pub type Script = Rc<RefCell<VecDeque<Fault>>>;
+
+pub struct Node {
+    pub addr: SocketAddr,
+    pub script: Script,
+    pub seen: tokio::sync::Mutex<mpsc::UnboundedReceiver<Seen>>,
+    pub flooded: Rc<Cell<usize>>,
+    /// Idle connections are closed as soon as an answer is complete.
+    pub hasty: Rc<Cell<bool>>,
+}
+
+pub const CHAT: &[&str] = &[
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"Grüß \"},\"finish_reason\":null}]}\n\n",
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"Gott\"},\"finish_reason\":\"stop\"}]}\n\n",
+    "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":40,\"completion_tokens\":2,\
+     \"prompt_tokens_details\":{\"cached_tokens\":16}}}\n\n",
+    ": Srv-Load: TEXT eps=0, latency_ms=12.5, queue=2\n\n",
+    "data: [DONE]\n\n",
+];
+pub const MESSAGES: &[&str] = &[
+    "event: message_start\ndata: {\"type\":\"message_start\",\"message\":{\"id\":\"m\",\"usage\":\
+     {\"input_tokens\":24,\"cache_read_input_tokens\":16,\"output_tokens\":1}}}\n\n\
+     event: content_block_start\ndata: {\"type\":\"content_block_start\",\"index\":0}\n\n\
+     event: ping\ndata: {\"type\":\"ping\"}\n\n\
+     event: content_block_delta\ndata: {\"type\":\"content_block_delta\",\"index\":0,\"delta\":\
+     {\"type\":\"text_delta\",\"text\":\"Grüß \"}}\n\n",
+    "event: content_block_delta\ndata: {\"type\":\"content_block_delta\",\"index\":0,\"delta\":\
+     {\"type\":\"text_delta\",\"text\":\"Gott\"}}\n\n",
+    "event: content_block_stop\ndata: {\"type\":\"content_block_stop\",\"index\":0}\n\n",
+    "event: message_delta\ndata: {\"type\":\"message_delta\",\"delta\":{\"stop_reason\":\"end_turn\"},\
+     \"usage\":{\"output_tokens\":2}}\n\n",
+    "event: message_stop\ndata: {\"type\":\"message_stop\"}\n\n",
+];
+const NOVEL: &str = "event: novelty\ndata: {\"type\":\"novelty\",\"n\":1}\n\n";
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+pub fn events(dialect: Dialect) -> &'static [&'static str] {
+    match dialect {
+        Dialect::Chat => CHAT,
+        Dialect::Messages => MESSAGES,
+    }
+}
+
+impl Node {
+    pub async fn new(dialect: Dialect) -> Node {
+        Node::sharing(dialect, &Script::default()).await
+    }
+
+    pub async fn sharing(dialect: Dialect, script: &Script) -> Node {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (tell, seen) = mpsc::unbounded_channel();
+        let node = Node {
+            addr: listener.local_addr().unwrap(),
+            script: script.clone(),
+            seen: tokio::sync::Mutex::new(seen),
+            flooded: Rc::default(),
+            hasty: Rc::default(),
+        };
+        let (script, flooded, hasty) = (node.script.clone(), node.flooded.clone(), node.hasty.clone());
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = tell.send(Seen::Connected);
+                let (script, flooded, hasty) = (script.clone(), flooded.clone(), hasty.clone());
+                let tell = tell.clone();
+                spawn_local(async move {
+                    let mut client = Client { stream, buf: Vec::new() };
+                    while let Some((head, body)) = client.message().await {
+                        let _ = tell.send(Seen::Request(head, body));
+                        let fault = script.borrow_mut().pop_front().unwrap_or(Fault::None);
+                        let answered = client.serve(dialect, fault, &flooded).await;
+                        if answered.is_none() {
+                            let _ = tell.send(Seen::GivenUp);
+                        }
+                        if answered != Some(true) || hasty.get() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        node
+    }
+
+    pub fn plan(&self, faults: &[Fault]) {
+        self.script.borrow_mut().extend(faults);
+    }
+
+    pub async fn next(&self) -> Seen {
+        self.seen.lock().await.recv().await.expect("the node runs")
+    }
+
+    pub async fn next_request(&self) -> (String, Vec<u8>) {
+        loop {
+            if let Seen::Request(head, body) = self.next().await {
+                return (head, body);
+            }
+        }
+    }
+
+    /// What has been seen so far: how many connections and requests.
+    pub fn so_far(&self) -> (usize, usize) {
+        let mut seen = self.seen.try_lock().expect("one looks at a time");
+        let all: Vec<Seen> = std::iter::from_fn(|| seen.try_recv().ok()).collect();
+        let requests = all.iter().filter(|s| matches!(s, Seen::Request(..))).count();
+        (all.iter().filter(|s| **s == Seen::Connected).count(), requests)
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub buf: Vec<u8>,
+}
+
+impl Client {
+    pub async fn to(addr: SocketAddr) -> Client {
+        Client { stream: TcpStream::connect(addr).await.unwrap(), buf: Vec::new() }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    async fn more(&mut self) -> bool {
+        matches!(self.stream.read_buf(&mut self.buf).await, Ok(n) if n > 0)
+    }
+
+    /// A message with a body of stated length.
+    pub async fn message(&mut self) -> Option<(String, Vec<u8>)> {
+        let (head, rest) = self.head().await?;
+        let length = field(&head, "content-length").map_or(0, |l| l.parse().unwrap());
+        self.buf = rest;
+        while self.buf.len() < length {
+            if !self.more().await {
+                return None;
+            }
+        }
+        let rest = self.buf.split_off(length);
+        Some((head, std::mem::replace(&mut self.buf, rest)))
+    }
+
+    async fn head(&mut self) -> Option<(String, Vec<u8>)> {
+        loop {
+            if let Some(end) = self.buf.windows(4).position(|w| w == b"\r\n\r\n") {
+                let rest = self.buf.split_off(end + 4);
+                return Some((String::from_utf8(std::mem::take(&mut self.buf)).unwrap(), rest));
+            }
+            if !self.more().await {
+                return None;
+            }
+        }
+    }
+
+    /// An answer: its status, head, body, and whether it is whole.
+    pub async fn answer(&mut self) -> (u16, String, String, bool) {
+        let Some((head, rest)) = self.head().await else { return (0, String::new(), String::new(), false) };
+        let status = head[9..12].parse().unwrap();
+        self.buf = rest;
+        let (mut body, mut whole) = (Vec::new(), true);
+        if field(&head, "transfer-encoding").is_some() {
+            loop {
+                while !self.buf.windows(2).any(|w| w == b"\r\n") && whole {
+                    whole = self.more().await;
+                }
+                let Some(at) = self.buf.windows(2).position(|w| w == b"\r\n") else { break };
+                let size = usize::from_str_radix(std::str::from_utf8(&self.buf[..at]).unwrap(), 16).unwrap();
+                while self.buf.len() < at + size + 4 && whole {
+                    whole = self.more().await;
+                }
+                body.extend_from_slice(&self.buf[at + 2..at + 2 + size]);
+                self.buf.drain(..at + size + 4);
+                if size == 0 {
+                    break;
+                }
+            }
+        } else {
+            let length = field(&head, "content-length").map_or(0, |l| l.parse().unwrap());
+            while self.buf.len() < length && whole {
+                whole = self.more().await;
+            }
+            body = self.buf.drain(..length).collect();
+        }
+        (status, head, String::from_utf8(body).unwrap(), whole)
+    }
+
+    /// Sends one request of the platform and gives the answer.
+    pub async fn ask(&mut self, fields: &str) -> (u16, String, String, bool) {
+        self.send(&platform(fields, "{}")).await;
+        self.answer().await
+    }
+
+    /// Serves one request; `None` if the router gave it up, false if the connection is to close.
+    async fn serve(&mut self, dialect: Dialect, fault: Fault, flooded: &Cell<usize>) -> Option<bool> {
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+        let events = events(dialect);
+        match fault {
+            Fault::Decline => {
+                let text = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+                return self.stream.write_all(text.as_bytes()).await.ok().map(|()| true);
+            }
+            Fault::Error => {
+                let text = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
+                return self.stream.write_all(text.as_bytes()).await.ok().map(|()| true);
+            }
+            Fault::Reset => return Some(false),
+            Fault::Mute => {
+                while self.more().await {}
+                return None;
+            }
+            Fault::Slow => tokio::time::sleep(Duration::from_millis(40)).await,
+            _ => {}
+        }
+        self.stream.write_all((HEAD.to_string() + &chunk(events[0])).as_bytes()).await.ok()?;
+        match fault {
+            Fault::Break => return Some(false),
+            Fault::Silence => {
+                while self.more().await {}
+                return None;
+            }
+            Fault::Flood => loop {
+                let text = chunk(&events[1].repeat(20));
+                self.stream.write_all(text.as_bytes()).await.ok()?;
+                flooded.set(flooded.get() + text.len());
+            },
+            Fault::UnknownEvent => self.stream.write_all(chunk(NOVEL).as_bytes()).await.ok()?,
+            _ => {}
+        }
+        for event in &events[1..] {
+            self.stream.write_all(chunk(event).as_bytes()).await.ok()?;
+        }
+        self.stream.write_all(b"0\r\n\r\n").await.ok()?;
+        Some(true)
+    }
+}
+
+pub fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let lines = head.split("\r\n").filter_map(|l| l.split_once(": "));
+    lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v).next()
+}
+
+pub fn platform(fields: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nReq-Id: 9b1f\r\nReq-Kind: chat\r\n\
+         Req-Owner: haendlerbund\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+pub struct Router {
+    pub host: Rc<Host>,
+    pub addr: SocketAddr,
+    pub messages: SocketAddr,
+}
+
+impl Router {
+    pub async fn new(dialect: Dialect, nodes: &[&Node], change: impl FnOnce(&mut Limits)) -> Router {
+        let mut config = config();
+        change(&mut config.limits);
+        Router::by(config, dialect, nodes, None, "127.0.0.1:9".parse().unwrap()).await
+    }
+
+    pub async fn by(
+        config: Config,
+        dialect: Dialect,
+        nodes: &[&Node],
+        peers: Option<Peers>,
+        list: SocketAddr,
+    ) -> Router {
+        let file =
+            include_str!("../../../deploy/messages.json").replace("flughafen-schalter", "grenzstellen");
+        let front = MessagesFront::parse(&file, &config.deployment).expect("the file is good");
+        let host = Host::new(config, dialect, peers).unwrap();
+        host.start(list);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (addr, messages) = (listener.local_addr().unwrap(), second.local_addr().unwrap());
+        spawn_local(front::serve(host.clone(), listener, Front::Platform));
+        spawn_local(front::serve(host.clone(), second, Front::Messages(Box::new(front))));
+        let router = Router { host, addr, messages };
+        let servers = nodes.iter().enumerate();
+        let servers = servers.map(|(i, n)| row(&format!("s-{i}"), n.addr, "active")).collect();
+        node_list::take(&router.host, &Page { version: 1, full: true, servers }, ListKind::Cached);
+        router
+    }
+
+    pub fn list(&self, rows: impl IntoIterator<Item = Row>) {
+        let page = Page { version: 1, full: true, servers: rows.into_iter().collect() };
+        node_list::take(&self.host, &page, ListKind::Full);
+    }
+
+    pub fn tallies(&self) -> Tallies {
+        self.host.with(|core, _| core.tallies().clone())
+    }
+
+    pub fn open(&self) -> usize {
+        self.host.with(|core, _| core.open())
+    }
+}
+
+pub fn row(id: &str, addr: SocketAddr, state: &str) -> Row {
+    let text = format!(r#"{{"id": "{id}", "addr": "{addr}", "state": "{state}"}}"#);
+    serde_json::from_str(&text).unwrap()
+}
+
+/// Waits until something is so.
+pub async fn until(so: impl Fn() -> bool) {
+    while !so() {
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/router/tests/parsers.rs
@@ -0,0 +1,209 @@
+//! Tables of cases for all that reads bytes from outside.
+#![allow(missing_docs)]
+
+mod common;
+
+use bytes::BytesMut;
+use tallypin_router::config::Config;
+use tallypin_router::dialect::{read_load, Asked, Dialect, Event, Events};
+use tallypin_router::front::MessagesFront;
+use tallypin_router::http::{Bad, Body, Framing, Head, Part};
+
+#[test]
+fn heads() {
+    let mut limits = common::config().limits;
+    (limits.head, limits.fields) = (200, 4);
+    let long = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(200));
+    for (text, wanted) in [
+        ("POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", "Length(3) keeps"),
+        ("GET / HTTP/1.0\r\n\r\n", "Unstated"),
+        ("GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n", "Unstated keeps"),
+        ("GET / HTTP/1.1\r\nConnection: foo, close\r\n\r\n", "Unstated"),
+        ("GET / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n", "Chunked keeps"),
+        ("GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", "Coding"),
+        ("GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nContent-Length: -3\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nContent-Length:\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nContent-Length: 0x3\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "Malformed"),
+        ("GET / HTTP/2.0\r\n\r\n", "Malformed"),
+        ("GET / HTTP/1.1\r\nA: 1\r\nA: 2\r\nA: 3\r\nA: 4\r\nA: 5\r\n\r\n", "LargeHead"),
+        ("GET / HTTP/1.1\r\nHost: h\r\n", "more"),
+        ("", "more"),
+        (&long, "LargeHead"),
+        (&format!("{long}\r\n\r\n"), "LargeHead"),
+    ] {
+        let mut buf = BytesMut::from(text);
+        let got = match Head::request(&mut buf, &limits) {
+            Ok(None) => "more".to_string(),
+            Ok(Some(head)) => match head.framing() {
+                Ok(framing) => format!("{framing:?}{}", if head.keeps() { " keeps" } else { "" }),
+                Err(bad) => format!("{bad:?}"),
+            },
+            Err(bad) => format!("{bad:?}"),
+        };
+        assert_eq!(got, wanted, "{text:?}");
+    }
+    // The body stays where it is, and no byte of any cut makes trouble.
+    let whole = b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nrest";
+    for cut in 0..whole.len() {
+        let mut buf = BytesMut::from(&whole[..cut]);
+        let head = Head::answer(&mut buf, &limits).unwrap();
+        assert_eq!((head.is_some(), buf.len()), (cut >= 25, if cut >= 25 { cut - 25 } else { cut }));
+    }
+}
+
+#[test]
+fn bodies() {
+    let whole = "4\r\nabcd\r\nA ; ext=1\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\nnext";
+    for step in 1..whole.len() {
+        let (mut body, mut buf, mut got, mut over) =
+            (Body::new(Framing::Chunked), BytesMut::new(), Vec::new(), false);
+        for piece in whole.as_bytes().chunks(step) {
+            buf.extend_from_slice(piece);
+            while let (false, Some(part)) = (over, body.next(&mut buf).unwrap()) {
+                match part {
+                    Part::Bytes(b) => got.extend_from_slice(&b),
+                    Part::End => over = true,
+                }
+            }
+        }
+        assert_eq!((&got[..], over, &buf[..]), (&b"abcd0123456789"[..], true, &b"next"[..]), "{step}");
+    }
+    let long = "1".repeat(1100);
+    for bad in ["\r\n", "x\r\n", "-1\r\n", "+1\r\n", "1\nab", "fffffffffffffffff\r\n", "1\r\nab", &long] {
+        let (mut body, mut buf) = (Body::new(Framing::Chunked), BytesMut::from(bad));
+        let end = loop {
+            match body.next(&mut buf) {
+                Ok(Some(Part::Bytes(_))) => {}
+                other => break other,
+            }
+        };
+        assert_eq!(end, Err(Bad::Malformed), "{bad:?}");
+    }
+}
+
+#[test]
+fn events_are_cut_where_they_end() {
+    let text = "data: a\n\n: c\r\n\r\nevent: x\ndata: b\n\nda";
+    for step in 1..text.len() {
+        let (mut events, mut got) = (Events::default(), String::new());
+        for piece in text.as_bytes().chunks(step) {
+            if let Some(whole) = events.push(piece) {
+                assert!(whole.ends_with(b"\n\n") || whole.ends_with(b"\r\n\r\n"), "{step}: {whole:?}");
+                got.push_str(std::str::from_utf8(&whole).unwrap());
+            }
+        }
+        assert_eq!((&got[..], &events.rest()[..]), (&text[..text.len() - 2], &b"da"[..]), "{step}");
+    }
+}
+
+fn read(dialect: Dialect, text: &str) -> Vec<Event> {
+    let mut told = Vec::new();
+    dialect.read(text.as_bytes(), true, &mut told);
+    told
+}
+
+#[test]
+fn both_vocabularies_say_the_same() {
+    insta::assert_debug_snapshot!(read(Dialect::Chat, &common::CHAT.concat()));
+    insta::assert_debug_snapshot!(read(Dialect::Messages, &common::MESSAGES.concat()));
+}
+
+#[test]
+fn odd_events_are_unknown_and_no_more() {
+    use Dialect::{Chat, Messages};
+    for (dialect, text, wanted) in [
+        (Chat, "data: {\"choices\":[]}\n\n", Event::Quiet),
+        (Chat, "data: {oops\n\n", Event::Unknown),
+        (Chat, "data: 7\n\n", Event::Unknown),
+        (Chat, "data: {\"novel\":1}\n\n", Event::Unknown),
+        (Chat, "event: novel\ndata: {\"choices\":[]}\n\n", Event::Unknown),
+        (Chat, "data: {\"error\":{\"message\":\"x\"}}\n\n", Event::Failed),
+        (Chat, ": keep alive\n\n", Event::Quiet),
+        (Messages, "event: ping\ndata: {}\n\n", Event::Quiet),
+        (Messages, "data: {\"type\":\"ping\"}\n\n", Event::Quiet),
+        (Messages, "event: error\ndata: {\"type\":\"error\",\"error\":{}}\n\n", Event::Failed),
+        (Messages, "event: novel\ndata: {}\n\n", Event::Unknown),
+        (Messages, "event: message_stop\ndata: oops\n\n", Event::Unknown),
+        (Messages, "event: \u{fffd}\ndata: {\"type\":3}\n\n", Event::Unknown),
+        (
+            Messages,
+            "event: content_block_delta\ndata: {\"delta\":{\"type\":\"novel_delta\"}}\n\n",
+            Event::Unknown,
+        ),
+    ] {
+        assert_eq!(read(dialect, text), [wanted], "{text}");
+    }
+}
+
+#[test]
+fn load_reports() {
+    let names: Vec<String> = ["fail_rate", "lat_ms", "q"].map(Into::into).into();
+    let show = |text| format!("{:?}", read_load(text, &names));
+    assert_eq!(show("TEXT eps=0.5, latency_ms=14.5,queue=3, novel=1"), "[0.5, 14.5, 3.0]");
+    assert_eq!(show("TEXT q=2"), "[NaN, NaN, 2.0]");
+    assert_eq!(show("JSON {}"), "[]");
+}
+
+#[test]
+fn request_bodies() {
+    let good = r#"{"model":"m","max_tokens":9,"system":[{"type":"text","text":"Be kind."}],"stop_sequences":["X"],
+        "temperature":0.5,"messages":[{"role":"user","content":"Hi"},{"role":"assistant","content":"Well"}]}"#;
+    let asked = Asked::messages(good.as_bytes()).unwrap();
+    assert!(asked.continues() && !asked.stream);
+    insta::assert_snapshot!(String::from_utf8(asked.chat_body()).unwrap());
+    let chat = Asked::chat(&asked.chat_body()).unwrap();
+    insta::assert_snapshot!(String::from_utf8(chat.messages_body(5)).unwrap());
+    let errors: Vec<String> = [
+        "",
+        "{}",
+        r#"{"model":"m","max_tokens":9,"messages":[]}"#,
+        r#"{"model":"m","messages":[{"role":"user","content":"x"}]}"#,
+        r#"{"model":"m","max_tokens":9,"messages":[{"role":"king","content":"x"}]}"#,
+        r#"{"model":"m","max_tokens":9,"messages":[{"role":"user","content":[{"type":"image"}]}]}"#,
+        r#"{"model":"m","max_tokens":-9,"messages":[{"role":"user","content":"x"}]}"#,
+    ]
+    .map(|text| Asked::messages(text.as_bytes()).unwrap_err())
+    .into();
+    insta::assert_snapshot!(errors.join("\n"));
+}
+
+#[test]
+fn configuration_that_is_malformed_is_named_by_its_field() {
+    let cases = [
+        ("\"name\"", "\"nom\""),
+        ("127.0.0.1:9", "localhost"),
+        ("8c1f30d27a5be964", "xyz"),
+        ("\"memory_mb\": 192", "\"memory_mb\": -1"),
+        ("\"sockets\": 1024", "\"sockets\": 9"),
+        ("\"TryLimit\": 4", "\"TryLimit\": \"four\""),
+        ("\"TryLimit\": 4", "\"TryLimit\": 0"),
+        ("\"GoalTimeNs\": 1200000000", "\"GoalTimeNs\": 0"),
+        ("\"ReplicasOfMe\": 2", "\"ReplicasOfMe\": 0"),
+    ];
+    let said = cases.map(|(from, to)| {
+        let text = common::CONFIG.replace(from, to);
+        format!("{to}: {}", Config::parse(&text).expect_err(to))
+    });
+    insta::assert_snapshot!(said.join("\n"));
+    let of = common::config().deployment;
+    let file = include_str!("../../deploy/messages.json").replace("flughafen-schalter", "grenzstellen");
+    let cases = [
+        ("127.0.0.1:8700", "here"),
+        ("\"chat\",\n", "\"klingon\",\n"),
+        ("\"belege\"", "\"poems\""),
+        ("\"haendlerbund\": \"haendlerbund\"", "\"haendlerbund\": \"x\""),
+        ("\"header\"", "\"haeder\""),
+        (": \"grenzstellen\"", ": \"x\""),
+    ];
+    let said = cases.map(|(from, to)| match MessagesFront::parse(&file.replace(from, to), &of) {
+        Ok(_) => format!("{to}: taken"),
+        Err(e) => format!("{to}: {e}"),
+    });
+    insta::assert_snapshot!(said.join("\n"));
+}
--- /dev/null
+++ b/router/tests/rules.rs
@@ -0,0 +1,375 @@
+//! One test with real sockets for each rule that the router keeps.
+#![allow(missing_docs)]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::*;
+use tallypin::api::PeerId;
+use tallypin_router::config::PeerAddresses;
+use tallypin_router::dialect::Dialect::Chat;
+use tallypin_router::limits::Limits;
+use tallypin_router::peers::Peers;
+use tallypin_router::{health, shutdown};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::spawn_local;
+
+const MS: Duration = Duration::from_millis(1);
+
+#[test]
+fn events_pass_unchanged_and_the_prompt_does_too() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let router = Router::new(Chat, &[&node], |_| {}).await;
+        let mut client = Client::to(router.addr).await;
+        client.send(&platform("Req-Deadline-Ms: 3000\r\n", "{\"stream\": true}")).await;
+        let (status, _, body, whole) = client.answer().await;
+        assert_eq!((status, body, whole), (200, CHAT.concat(), true));
+        let (head, body) = node.next_request().await;
+        assert!(head.starts_with("POST /v1/chat/completions HTTP/1.1\r\n"), "{head}");
+        assert_eq!((field(&head, "req-id"), &body[..]), (Some("9b1f"), &b"{\"stream\": true}"[..]));
+        let left: u64 = field(&head, "req-deadline-ms").unwrap().parse().unwrap();
+        assert!((2000..=3000).contains(&left), "{left}");
+        // The same connections serve the next one.
+        assert_eq!(client.ask("").await.0, 200);
+        assert_eq!(node.so_far(), (0, 1));
+        assert_eq!(router.tallies().served, 2);
+    });
+}
+
+#[test]
+fn what_the_module_gives_up_on_is_refused_at_once_with_advice() {
+    run(async {
+        let router = Router::new(Chat, &[], |_| {}).await;
+        let (mut client, begun) = (Client::to(router.addr).await, Instant::now());
+        let (status, head, ..) = client.ask("").await;
+        assert!(begun.elapsed() < 500 * MS, "held back for {:?}", begun.elapsed());
+        let advice: f64 = field(&head, "retry-after").expect("advice").parse().unwrap();
+        assert!(status == 503 && advice > 0.0 && advice <= 2.0, "{status} {advice}");
+        let over_share = platform("", "{}").replace("haendlerbund", "grenzstellen");
+        let mut statuses = Vec::new();
+        for _ in 0..10 {
+            client.send(&over_share).await;
+            statuses.push(client.answer().await.0);
+        }
+        assert!(statuses.contains(&429), "{statuses:?}");
+    });
+}
+
+#[test]
+fn the_final_answer_comes_by_the_deadline() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Mute; 4]);
+        let router = Router::new(Chat, &[&node], |_| {}).await;
+        let (mut client, begun) = (Client::to(router.addr).await, Instant::now());
+        let (status, ..) = client.ask("Req-Deadline-Ms: 120\r\n").await;
+        assert!(status == 503 && begun.elapsed() < 170 * MS, "{status} after {:?}", begun.elapsed());
+        assert_eq!(node.next().await, Seen::Connected);
+        assert!(matches!(node.next().await, Seen::Request(..)));
+        assert_eq!(node.next().await, Seen::GivenUp, "the attempt is closed");
+        assert_eq!((router.tallies().refused, router.open()), (1, 0));
+    });
+}
+
+#[test]
+fn a_broken_or_silent_stream_ends_without_the_last_chunk() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Break, Fault::Silence]);
+        let router = Router::new(Chat, &[&node], |l| l.silence = 50 * MS).await;
+        for count in 1..=2 {
+            let (status, _, body, whole) = Client::to(router.addr).await.ask("").await;
+            assert_eq!((status, &body[..], whole), (200, CHAT[0], false));
+            assert_eq!(router.tallies().broken, count, "bound: no further attempt");
+        }
+        assert_eq!(node.so_far().1, 2);
+        let (status, ..) = Client::to(router.addr).await.ask("Req-Retry: again\r\n").await;
+        assert_eq!((status, router.tallies().returned), (200, 1));
+    });
+}
+
+#[test]
+fn further_attempts_are_the_module_s_and_are_counted() {
+    run(async {
+        let plan = Script::default();
+        let (a, b) = (Node::sharing(Chat, &plan).await, Node::sharing(Chat, &plan).await);
+        let router = Router::new(Chat, &[&a, &b], |_| {}).await;
+        for fault in [Fault::Decline, Fault::Error, Fault::Reset] {
+            a.plan(&[fault, Fault::None]);
+            assert_eq!(Client::to(router.addr).await.ask("").await.0, 200, "{fault:?}");
+        }
+        let (first, second) = (a.so_far().1, b.so_far().1);
+        assert_eq!((first + second, router.tallies().served), (6, 3));
+        // done, error, busy, timed out, refused, reset, cancelled, skipped
+        assert_eq!(router.tallies().outcomes, [3, 1, 1, 0, 0, 1, 0, 0]);
+    });
+}
+
+#[test]
+fn a_connection_closed_while_idle_is_noticed_and_an_old_one_retired() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.hasty.set(true);
+        let router = Router::new(Chat, &[&node], |l| l.idle_node = 80 * MS).await;
+        let mut client = Client::to(router.addr).await;
+        for _ in 0..3 {
+            assert_eq!(client.ask("").await.0, 200);
+            // The close is there when the next request comes: a round trip to the node orders the two.
+            drop(Client::to(node.addr).await);
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(router.tallies().outcomes[0], 3, "none was written to a closed connection");
+        node.hasty.set(false);
+        assert_eq!(client.ask("").await.0, 200);
+        node.so_far();
+        tokio::time::sleep(100 * MS).await; // the retirement itself is a matter of time
+        assert_eq!(client.ask("").await.0, 200);
+        assert_eq!(node.so_far(), (1, 1), "a new connection");
+    });
+}
+
+#[test]
+fn a_node_that_drains_or_is_gone_gets_nothing_new() {
+    run(async {
+        let (a, b) = (Node::new(Chat).await, Node::new(Chat).await);
+        let router = Router::new(Chat, &[&a, &b], |_| {}).await;
+        router.list([row("s-0", a.addr, "leaving"), row("s-1", b.addr, "active")]);
+        for _ in 0..8 {
+            assert_eq!(Client::to(router.addr).await.ask("").await.0, 200);
+        }
+        router.list([row("s-1", b.addr, "unheard-of")]);
+        assert_eq!(Client::to(router.addr).await.ask("").await.0, 503);
+        assert_eq!((a.so_far().1, b.so_far().1), (0, 8));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_frees_what_it_held() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Mute, Fault::Flood]);
+        let router = Router::new(Chat, &[&node], |_| {}).await;
+        for left in 1..=2 {
+            let mut client = Client::to(router.addr).await;
+            client.send(&platform("", "{}")).await;
+            node.next_request().await;
+            drop(client);
+            while node.next().await != Seen::GivenUp {}
+            assert_eq!((router.tallies().left, router.open()), (left, 0));
+        }
+    });
+}
+
+#[test]
+fn a_slow_client_holds_up_the_node_and_not_the_memory() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Flood]);
+        let router = Router::new(Chat, &[&node], |_| {}).await;
+        let mut client = Client::to(router.addr).await;
+        client.send(&platform("", "{}")).await;
+        // The node goes on until everything between it and the client is full, then stands still.
+        let (mut before, mut still) = (0, 0);
+        while still < 20 {
+            tokio::time::sleep(5 * MS).await;
+            still = if node.flooded.get() == before && before > 0 { still + 1 } else { 0 };
+            before = node.flooded.get();
+        }
+        assert!(before < 24 << 20, "{before} bytes taken from the node");
+        let mut some = vec![0; 1 << 20];
+        client.stream.read_exact(&mut some).await.unwrap();
+        until(|| node.flooded.get() > before).await;
+    });
+}
+
+#[test]
+fn bad_input_is_turned_away_and_never_reaches_a_node() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let router = Router::new(Chat, &[&node], |l: &mut Limits| {
+            (l.head, l.fields, l.body, l.read) = (1024, 16, 4096, 100 * MS);
+        })
+        .await;
+        let good = platform("", "{}");
+        let long = "x".repeat(2000);
+        let many = "X-A: b\r\n".repeat(20);
+        for (what, text, status) in [
+            ("no request at all", "\0\u{1}garbage\r\n\r\n".to_string(), 400),
+            ("two lengths", platform("Content-Length: 2\r\n", "{}"), 400),
+            ("length and chunks", platform("Transfer-Encoding: chunked\r\n", "{}"), 400),
+            ("a signed length", good.replace("Length: 2", "Length: +2"), 400),
+            ("a length beyond counting", good.replace("Length: 2", "Length: 99999999999999999999"), 400),
+            ("another coding", good.replace("Content-Length: 2", "Transfer-Encoding: gzip"), 501),
+            ("a bad chunk", good.replace("Content-Length: 2", "Transfer-Encoding: chunked") + "\r\n", 400),
+            ("a large body", good.replace("Length: 2", "Length: 5000"), 413),
+            ("a large head", platform(&format!("X-A: {long}\r\n"), "{}"), 431),
+            ("many fields", platform(&many, "{}"), 431),
+            ("no host", good.replace("Host: b\r\n", ""), 400),
+            ("no id", good.replace("Req-Id: 9b1f\r\n", ""), 400),
+            ("an id of two words", good.replace("9b1f", "9b 1f"), 400),
+            ("an unknown class", good.replace("chat\r\nReq", "poem\r\nReq"), 400),
+            ("an unknown partner", good.replace("haendlerbund", "nobody"), 400),
+            ("an endless wait", platform("Req-Deadline-Ms: 18446744073709551615\r\n", "{}"), 400),
+            ("a wait in words", platform("Req-Deadline-Ms: soon\r\n", "{}"), 400),
+            ("lengths of nothing", platform("Req-Extra: prompt_len=-1\r\n", "{}"), 400),
+            ("an extra without a value", platform("Req-Extra: prefix\r\n", "{}"), 400),
+            ("another path", good.replace("/v1/chat", "/v2/chat"), 404),
+            ("another method", good.replace("POST", "PUT"), 405),
+            ("half a body", good.replace("Length: 2", "Length: 3"), 408),
+        ] {
+            let mut client = Client::to(router.addr).await;
+            client.send(&text).await;
+            assert_eq!(client.answer().await.0, status, "{what}");
+        }
+        assert_eq!((node.so_far(), router.tallies().taken), ((0, 0), 0));
+        assert_eq!(Client::to(router.addr).await.ask("").await.0, 200, "and all is well");
+    });
+}
+
+#[test]
+fn over_budget_is_refused_and_idle_connections_make_room() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Mute; 3]);
+        let router = Router::new(Chat, &[&node], |l| (l.clients, l.bodies) = (2, 100)).await;
+        let mut idle = Client::to(router.addr).await;
+        assert_eq!(idle.ask(&format!("Req-Deadline-Ms: {}\r\n", 30)).await.0, 503);
+        let mut large = Client::to(router.addr).await;
+        large.send(&platform("", &"x".repeat(101))).await;
+        assert_eq!(large.answer().await.0, 503, "more body than the budget holds");
+        drop(large);
+        until(|| router.host.clients.get() == 1).await;
+        let mut busy = Client::to(router.addr).await;
+        busy.send(&platform("", "{}")).await;
+        until(|| router.open() == 1).await;
+        let mut third = Client::to(router.addr).await;
+        assert_eq!(idle.answer().await.0, 0, "the idle one is closed");
+        third.send(&platform("", "{}")).await;
+        until(|| router.open() == 2).await;
+        let (status, head, ..) = Client::to(router.addr).await.ask("").await;
+        assert!(status == 503 && field(&head, "retry-after").is_some(), "{head}");
+    });
+}
+
+#[test]
+fn the_planned_end_serves_who_still_comes_and_finishes_what_it_has() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Slow, Fault::Slow]);
+        let router = Router::new(Chat, &[&node], |l| l.grace = 60 * MS).await;
+        let mut idle = Client::to(router.addr).await;
+        idle.send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n").await;
+        assert_eq!(idle.answer().await.0, 200);
+        let host = router.host.clone();
+        let end = spawn_local(async move { shutdown::drain(&host).await });
+        until(|| router.host.drain.stage() != shutdown::Stage::Serving).await;
+        idle.send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n").await;
+        assert_eq!(idle.answer().await.0, 503, "no more clients are wanted");
+        let mut late = Client::to(router.addr).await;
+        late.send(&platform("", "{}")).await;
+        assert_eq!(late.answer().await.0, 200, "but who comes is served");
+        late.send(&platform("", "{}")).await;
+        assert_eq!((late.answer().await.0, late.answer().await.0), (200, 0), "to the end, then closed");
+        end.await.unwrap();
+        assert_eq!((idle.answer().await.0, router.host.clients.get()), (0, 0));
+        assert!(TcpStream::connect(router.addr).await.is_err(), "nobody listens any more");
+    });
+}
+
+#[test]
+fn a_lost_list_goes_on_being_used_and_is_asked_for_again() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let list = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = list.local_addr().unwrap();
+        let mut config = config();
+        config.limits.list_silence = 100 * MS;
+        let router = Router::by(config, Chat, &[], None, at).await;
+        let next = || async {
+            let (stream, _) = list.accept().await.unwrap();
+            let mut call = Client { stream, buf: Vec::new() };
+            let (head, _) = call.message().await.unwrap();
+            (call, head)
+        };
+        let (mut call, head) = next().await;
+        assert!(head.starts_with("GET /discovery/hosts?follow=1 HTTP/1.1\r\n"), "{head}");
+        let page = format!(
+            r#"{{"version":41,"full":true,"servers":[{{"id":"s-1","addr":"{}","state":"active"}}]}}"#,
+            node.addr
+        );
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{page}\n\r\n",
+            page.len() + 1
+        );
+        call.send(&text).await;
+        until(|| router.host.nodes.ready() == 1).await;
+        // Silent for too long, malformed, refused: each time the list is kept and asked for anew.
+        for answer in ["", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n", "HTTP/1.1 503 No\r\n\r\n"] {
+            let (mut again, head) = next().await;
+            assert!(head.contains("since=41"), "{head}");
+            assert_eq!(Client::to(router.addr).await.ask("").await.0, 200);
+            again.send(answer).await;
+            call = again; // dropped, and so closed, only when the next call has come
+        }
+        drop(call);
+    });
+}
+
+#[test]
+fn datagrams_go_between_routers_and_only_so_long_and_only_from_peers() {
+    run(async {
+        let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let stranger = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let mine = UdpSocket::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let each = vec![mine, other.local_addr().unwrap()];
+        let peers = Peers::new(PeerAddresses { listen: mine, each, all: None }, PeerId(0)).await.unwrap();
+        peers.tell(&[7; 257]);
+        peers.tell(&[7; 256]);
+        let mut buf = [0; 512];
+        assert_eq!(other.recv_from(&mut buf).await.unwrap(), (256, mine));
+        stranger.send_to(b"lies", mine).await.unwrap();
+        other.send_to(&[1; 300], mine).await.unwrap();
+        other.send_to(b"news", mine).await.unwrap();
+        assert_eq!(peers.next().await, (PeerId(1), b"news".to_vec()));
+    });
+}
+
+#[test]
+fn balancers_are_told_the_state_as_it_is() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let router = Router::new(Chat, &[&node], |l| (l.clients, l.grace) = (4, 40 * MS)).await;
+        let agent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = agent.local_addr().unwrap();
+        spawn_local(health::agent(router.host.clone(), agent));
+        let line = || async {
+            let (mut check, mut line) = (TcpStream::connect(at).await.unwrap(), String::new());
+            check.read_to_string(&mut line).await.unwrap();
+            line
+        };
+        let get = "GET /healthz HTTP/1.0\r\n\r\n";
+        assert_eq!(line().await, "up ready 100%\n");
+        let mut client = Client::to(router.messages).await;
+        client.send(get).await;
+        assert_eq!(client.answer().await.0, 200);
+        drop(client);
+        until(|| router.host.clients.get() == 0).await;
+        let held = Client::to(router.addr).await;
+        until(|| router.host.clients.get() == 1).await;
+        assert_eq!(line().await, "up ready 75%\n");
+        router.list([]);
+        assert_eq!(line().await, "down\n");
+        let host = router.host.clone();
+        let end = spawn_local(async move { shutdown::drain(&host).await });
+        until(|| router.host.drain.stage() != shutdown::Stage::Serving).await;
+        assert_eq!(line().await, "drain\n");
+        let mut client = Client::to(router.messages).await;
+        client.stream.write_all(get.as_bytes()).await.unwrap();
+        assert_eq!(client.answer().await.0, 503);
+        end.await.unwrap();
+        drop(held);
+    });
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -377,6 +377,15 @@
     },
 }
 
+/// What a request is refused for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its tenant has used up its share.
+    Share,
+    /// No replica would begin in time, or none did.
+    Room,
+}
+
 /// What a gateway is to do, in this order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -395,6 +404,8 @@
         request: RequestId,
         /// When the client may come back; 0 gives no advice.
         retry_after: Nanos,
+        /// What for.
+        why: Refusal,
     },
     /// Final answer: failed; promises nothing.
     Fail(RequestId),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,6 +93,9 @@
 /// If more than this share of the replicas would be ejected, suspect the network or the own view.
 const EJECT_SHARE: f64 = 0.4;
 
+/// The least advice to a client refused for want of room.
+const LEAST_ADVICE: Nanos = SECOND / 10;
+
 /// Timer tokens.
 const TICK: u64 = 1;
 const WATCH: u64 = 2;
@@ -379,7 +382,8 @@
         self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_MOST);
         match pick {
             Some(p) => self.send(now, id, p, out),
-            None => self.refuse(id, (short as Nanos).min(self.set.max_retry_after), out),
+            None if paid => self.refuse_for_room(id, out),
+            None => self.refuse(id, (short as Nanos).min(self.set.max_retry_after), Refusal::Share, out),
         }
     }
 
@@ -717,10 +721,17 @@
         }
     }
 
-    fn refuse(&mut self, id: RequestId, retry_after: Nanos, out: &mut Vec<Action>) {
+    fn refuse(&mut self, id: RequestId, retry_after: Nanos, why: Refusal, out: &mut Vec<Action>) {
         self.unpay(id);
         self.close(id);
-        out.push(Action::Refuse { request: id, retry_after });
+        out.push(Action::Refuse { request: id, retry_after, why });
+    }
+
+    /// No share is short, so no bucket tells when to come back: what first tokens wait for now does, spread
+    /// out so that those refused together do not come back together.
+    fn refuse_for_room(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let wait = self.fleet.wait.max(LEAST_ADVICE as f64) * (0.5 + self.rng.f64());
+        self.refuse(id, (wait as Nanos).min(self.set.max_retry_after), Refusal::Room, out);
     }
 
     /// A token comes back when an admitted request ends unserved.
@@ -844,7 +855,7 @@
                 self.retry_budget -= 1.0;
                 self.send(now, id, p, out)
             }
-            None if refuse => self.refuse(id, 0, out),
+            None if refuse => self.refuse_for_room(id, out),
             None => {
                 self.unpay(id);
                 self.close(id);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -161,9 +161,12 @@
     pub resume: bool,
 }
 
-/// Reads the object; an error names the place and what is wrong there.
-pub fn parse(text: &str) -> Result<Deployment, serde_json::Error> {
-    let d: Object = serde_json::from_str(text)?;
+/// What is wrong with the object: the path to the field, and why.
+pub type Malformed = serde_path_to_error::Error<serde_json::Error>;
+
+/// Reads the object.
+pub fn parse(text: &str) -> Result<Deployment, Malformed> {
+    let d: Object = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))?;
     let class = |(i, p): (usize, &Profile)| {
         let effect = match p.effect.as_str() {
             "pure" => Effect::Pure,
