Free prompts once bound, read once more before closing; tests of program and errors

Seen: a bound request kept its body, and so its part of the budget, to the end of its stream. A connection accepted by the machine as the listener closed was reset unread.

--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -108,8 +108,10 @@
             host.client_closed.notified().await;
         }
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = host.drain.reached(Stage::Closing) => return,
+            // Whoever the machine has accepted already is not to be reset when the listener goes.
+            () = closing(&host) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -126,6 +128,12 @@
     }
 }
 
+/// Waits for the closing stage, and long enough for what is under way to be seen.
+async fn closing(host: &Host) {
+    host.drain.reached(Stage::Closing).await;
+    tokio::time::sleep(host.limits.last_look).await;
+}
+
 struct Counted(Rc<Host>);
 
 impl Drop for Counted {
@@ -169,7 +177,7 @@
     tokio::select! {
         biased;
         more = wire.more() => matches!(more, Ok(true)),
-        () = host.drain.reached(Stage::Closing) => false,
+        () = closing(host) => false,
         () = host.client_unwanted.notified() => false,
         () = tokio::time::sleep(host.limits.idle_client) => false,
     }
@@ -235,7 +243,7 @@
 
 /// Closes a connection so that the answer just written still arrives: what the client goes on sending is
 /// taken for a while, as an outright close would reset the connection under the answer.
-async fn linger(mut wire: Wire) {
+pub async fn linger(mut wire: Wire) {
     use tokio::io::AsyncWriteExt;
     let _ = wire.stream.shutdown().await;
     let rest = async {
--- a/router/src/health.rs
+++ b/router/src/health.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use tokio::net::TcpListener;
 
-use crate::front::{write, write_whole};
+use crate::front::{linger, write, write_whole};
 use crate::host::Host;
 use crate::http::{reason, Wire};
 use crate::shutdown::Stage;
@@ -79,6 +79,11 @@
         // Answered in turn: a balancer asks every few seconds, and none can hold up the next for long.
         let line = format!("{}\n", State::of(&host));
         let mut wire = Wire::new(stream);
-        let _ = tokio::time::timeout(PAUSE, wire.write(Bytes::from(line))).await;
+        // What the balancer may have sent is read before the close, which would else reset the line away.
+        let told = async {
+            let _ = wire.write(Bytes::from(line)).await;
+            linger(wire).await;
+        };
+        let _ = tokio::time::timeout(PAUSE, told).await;
     }
 }
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -232,9 +232,17 @@
                 Order::Begin(id, attempt, node, deadline) => {
                     let waiting = self.waiting.borrow();
                     let Some(w) = waiting.get(&id) else { continue };
-                    let (pieces, prompt) = (w.pieces.clone(), w.prompt.clone());
-                    let run =
-                        node::Attempt { host: self.clone(), id, attempt, node, deadline, prompt, pieces };
+                    let (pieces, prompt, text) = (w.pieces.clone(), Some(w.prompt.clone()), w.prompt.text);
+                    let run = node::Attempt {
+                        host: self.clone(),
+                        id,
+                        attempt,
+                        node,
+                        deadline,
+                        prompt,
+                        text,
+                        pieces,
+                    };
                     let task = tokio::task::spawn_local(run.run());
                     self.attempts.borrow_mut().insert((id, attempt), task.abort_handle());
                 }
@@ -264,6 +272,11 @@
         }
     }
 
+    /// A request is bound: its prompt is of no more use.
+    pub fn forget_prompt(&self, id: RequestId) {
+        self.waiting.borrow_mut().remove(&id);
+    }
+
     /// An attempt's task is at its end.
     pub fn attempt_over(&self, id: RequestId, attempt: u32) {
         self.attempts.borrow_mut().remove(&(id, attempt));
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -53,6 +53,8 @@
     pub list_silence: Duration,
     /// Clients still come for so long after the order to stop.
     pub grace: Duration,
+    /// Then connections that carry nothing are read for so long once more: a request may have crossed.
+    pub last_look: Duration,
     /// After that, what was taken may go on for so long.
     pub finish: Duration,
     /// The least advice to a refused client on when to come back.
@@ -89,8 +91,9 @@
             silence: Duration::from_secs(4),
             probe: Duration::from_millis(500),
             slack: nanos(of.answer_slack).min(Duration::from_millis(10)),
-            list_silence: Duration::from_secs(5),
+            list_silence: Duration::from_secs(4),
             grace: Duration::from_millis(500),
+            last_look: Duration::from_millis(20),
             finish: Duration::from_secs(60),
             come_back: Duration::from_millis(100),
         }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -108,6 +108,7 @@
 
 async fn serve(config: Config, messages: Option<MessagesFront>) -> Result<(), Box<dyn std::error::Error>> {
     let (listen, node_list, known) = (config.listen, config.node_list, config.known.clone());
+    let name = config.name.clone();
     let peers = match config.peers.clone() {
         Some(addresses) => Some(Peers::new(addresses, config.deployment.decisions.me).await?),
         None => None,
@@ -127,6 +128,8 @@
     }
     let listener = TcpListener::bind(listen).await?;
     tokio::task::spawn_local(front::serve(host.clone(), listener, Front::Platform));
-    shutdown::on_signal(host).await?;
+    eprintln!("tallypin: {name} listens on {listen}");
+    shutdown::on_signal(host.clone()).await?;
+    eprintln!("tallypin: {name} ends: {:?}", host.with(|core, _| core.tallies().clone()));
     Ok(())
 }
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -170,8 +170,10 @@
     pub node: ReplicaId,
     /// When the client gives up.
     pub deadline: Nanos,
-    /// What to send.
-    pub prompt: Rc<Prompt>,
+    /// What to send; not kept once the request is bound.
+    pub prompt: Option<Rc<Prompt>>,
+    /// The front wants the text of events, not only their bytes.
+    pub text: bool,
     /// Where its events go once the request is bound to it.
     pub pieces: mpsc::Sender<Piece>,
 }
@@ -200,7 +202,7 @@
         let Some(addr) = self.host.nodes.address(self.node) else { return Outcome::Refused.into() };
         let Some(mut link) = self.host.nodes.connect(addr).await else { return Outcome::Refused.into() };
         // Broken before its last byte was written, the request cannot have run.
-        let (head, body) = self.message();
+        let Some((head, body)) = self.message() else { return Outcome::Skipped.into() };
         if link.wire.write(head.chain(body)).await.is_err() {
             return Outcome::Refused.into();
         }
@@ -237,8 +239,8 @@
         end
     }
 
-    fn message(&self) -> (Bytes, Bytes) {
-        let p = &self.prompt;
+    fn message(&self) -> Option<(Bytes, Bytes)> {
+        let p = self.prompt.as_ref()?;
         let left = self.deadline.saturating_sub(self.host.clock.now()) / 1_000_000;
         let body = p.body.bytes.clone();
         let mut head = Vec::with_capacity(256 + p.target.len());
@@ -250,7 +252,7 @@
             body.len()
         );
         head.extend_from_slice(rest.as_bytes());
-        (head.into(), body)
+        Some((head.into(), body))
     }
 
     /// Passes the events of a stream on as they come; also says whether the connection is at the end of
@@ -312,6 +314,9 @@
                         return (AttemptEnd { outcome: Outcome::Error, ..end }, false);
                     }
                     self.deadline = BOUND;
+                    // No further attempt will need the prompt: its part of the budget is free again.
+                    self.prompt = None;
+                    host.forget_prompt(id);
                 }
                 if self.pieces.send(Piece::Events(bytes, told)).await.is_err() || failed {
                     return (end, false);
@@ -331,7 +336,7 @@
     /// What events say; keeps what concerns the attempt's end.
     fn tell(&self, bytes: &[u8], end: &mut AttemptEnd) -> Vec<Event> {
         let mut told = Vec::new();
-        self.host.nodes.dialect.read(bytes, self.prompt.text, &mut told);
+        self.host.nodes.dialect.read(bytes, self.text, &mut told);
         for event in &told {
             match event {
                 Event::Usage { kept: Some(kept), .. } => end.kept = Some((*kept).min(u32::MAX.into()) as u32),
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -62,7 +62,7 @@
                 // A state that is not known is no invitation to send.
                 _ => ReplicaState::Draining,
             },
-            last_start: self.started_ms as Nanos * 1_000_000,
+            last_start: (self.started_ms as Nanos).saturating_mul(1_000_000),
             zone: ZoneId(place(&of.zones, &self.zone)),
             cell: self.cell,
             kind: place(&of.kinds, &self.kind),
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -71,6 +71,8 @@
     host.drain.enter(Stage::Grace);
     sleep(host.limits.grace).await;
     host.drain.enter(Stage::Closing);
+    // Whatever was under way when the listeners closed has been seen by then.
+    sleep(host.limits.last_look * 2).await;
     let finished = async {
         while host.clients.get() > 0 {
             host.client_closed.notified().await;
--- /dev/null
+++ b/router/tests/program.rs
@@ -0,0 +1,75 @@
+//! The program as a process: what it says of its configuration, and its planned end.
+#![allow(missing_docs)]
+
+mod common;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+
+fn tallypin() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tallypin"));
+    command.env_clear().stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+fn said(command: &mut Command) -> (Option<i32>, String) {
+    let out = command.output().unwrap();
+    (out.status.code(), String::from_utf8(out.stdout).unwrap() + &String::from_utf8(out.stderr).unwrap())
+}
+
+#[test]
+fn the_command_line_and_the_configuration() {
+    let dir = std::env::temp_dir().join(format!("tallypin-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let write = |name: &str, text: &str| {
+        std::fs::write(dir.join(name), text).unwrap();
+        dir.join(name)
+    };
+    let good = write("good.json", include_str!("../../examples/config.json"));
+    let bad = write("bad.json", &common::CONFIG.replace("\"Me\": 0", "\"Me\": \"zero\""));
+    let front = write("front.json", include_str!("../../deploy/messages.json"));
+    let version = format!("tallypin {}\n", env!("CARGO_PKG_VERSION"));
+    assert_eq!(said(tallypin().arg("version")), (Some(0), version));
+    assert_eq!(said(tallypin().arg("--help")).0, Some(0));
+    for (args, config, code, words) in [
+        (&["check"][..], Some(&good), 0, "n1: listens on 127.0.0.1:5000"),
+        (&["check", "--messages", front.to_str().unwrap()], Some(&good), 0, "messages API on 127.0.0.1:8700"),
+        (&["check", "--messages", "/nowhere"], Some(&good), 2, "--messages: "),
+        (&["serve"], Some(&bad), 2, "settings.Me: invalid type"),
+        (&["serve"], None, 2, "PROXY_CONFIG: not set"),
+        (&["dance"], None, 2, "dance"),
+        (&[], None, 2, "no command"),
+    ] {
+        let mut command = tallypin();
+        command.args(args);
+        config.map(|path| command.env("PROXY_CONFIG", path));
+        let (got, text) = said(&mut command);
+        assert!(got == Some(code) && text.contains(words), "{args:?}: {got:?} {text}");
+    }
+    let bad_address = said(tallypin().arg("serve").env("PROXY_CONFIG", &good).env("PROXY_LISTEN", "here"));
+    assert!(bad_address.0 == Some(2) && bad_address.1.contains("PROXY_LISTEN"), "{bad_address:?}");
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+#[test]
+fn sigterm_ends_it_with_exit_code_0() {
+    // A port that was free a moment ago: the program names none that it picks itself.
+    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let path = std::env::temp_dir().join(format!("tallypin-term-{}.json", std::process::id()));
+    std::fs::write(&path, include_str!("../../examples/config.json")).unwrap();
+    let mut serve = tallypin();
+    serve.arg("serve").env("PROXY_CONFIG", &path).env("PROXY_LISTEN", listen.to_string());
+    let mut child = serve.env("PROXY_DISCOVERY", "127.0.0.1:9").spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    assert!(lines.next().unwrap().unwrap().contains(&listen.to_string()), "it says where it listens");
+    let mut client = TcpStream::connect(listen).unwrap();
+    client.write_all(b"GET /up HTTP/1.1\r\nHost: b\r\n\r\n").unwrap();
+    let mut status = [0; 12];
+    client.read_exact(&mut status).unwrap();
+    assert_eq!(&status, b"HTTP/1.1 503", "no model node is known");
+    let killed = Command::new("kill").arg(child.id().to_string()).status().unwrap();
+    assert!(killed.success());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    std::fs::remove_file(&path).unwrap();
+}
