Do not hold want of descriptors here against a model node; fuzz what reads the wire

Seen: an attempt that found no connection left in the router's own budget ended as refused, and the module shuns a node that refuses for 3 s and more. It ends as skipped now, as does one for which the machine has no descriptor or port left. 20,000 mutated inputs go through every reader without a panic.

--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -1,6 +1,7 @@
 //! Connections to model nodes, and running one attempt on one of them.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -95,10 +96,6 @@
         });
     }
 
-    fn address(&self, id: ReplicaId) -> Option<SocketAddr> {
-        self.addresses.borrow().get(&id).map(|p| p.addr)
-    }
-
     /// The most recently used idle connection: the others then grow old and are retired.
     fn take_idle(&self, addr: SocketAddr) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
@@ -127,20 +124,35 @@
         oldest.map(|links| links.remove(0)).is_some()
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Option<Link> {
+    /// A connection to a node. What fails for want of anything here is *skipped*, not *refused*: it says
+    /// nothing of the node, which the module would else shun.
+    async fn reach(&self, id: ReplicaId) -> Result<(SocketAddr, Link), Outcome> {
+        let addr = self.addresses.borrow().get(&id).map(|p| p.addr).ok_or(Outcome::Skipped)?;
         if let Some(link) = self.take_idle(addr) {
-            return Some(link);
+            return Ok((addr, link));
         }
         if !self.make_room() {
-            return None;
+            return Err(Outcome::Skipped);
         }
         self.open.set(self.open.get() + 1);
         let count = Count(Some(self.open.clone()));
-        let stream = timeout(self.connect_limit, TcpStream::connect(addr)).await.ok()?.ok()?;
-        Some(count.into_link(Wire::new(stream)))
+        match timeout(self.connect_limit, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => Ok((addr, count.into_link(Wire::new(stream)))),
+            Ok(Err(e)) if e.kind() == io::ErrorKind::AddrNotAvailable || no_descriptor(&e) => {
+                Err(Outcome::Skipped)
+            }
+            _ => Err(Outcome::Refused),
+        }
     }
 }
 
+/// Whether the machine or the process has no descriptor left.
+fn no_descriptor(e: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
+}
+
 /// A counted connection that is not up yet.
 struct Count(Option<Rc<Cell<usize>>>);
 
@@ -199,8 +211,10 @@
     }
 
     async fn stream(&mut self) -> AttemptEnd {
-        let Some(addr) = self.host.nodes.address(self.node) else { return Outcome::Refused.into() };
-        let Some(mut link) = self.host.nodes.connect(addr).await else { return Outcome::Refused.into() };
+        let (addr, mut link) = match self.host.nodes.reach(self.node).await {
+            Ok(reached) => reached,
+            Err(outcome) => return outcome.into(),
+        };
         // Broken before its last byte was written, the request cannot have run.
         let Some((head, body)) = self.message() else { return Outcome::Skipped.into() };
         if link.wire.write(head.chain(body)).await.is_err() {
@@ -383,7 +397,7 @@
     }
 }
 
-/// Probes a node and tells the core.
+/// Probes a node and tells the core. The module sends no probes today; its interface has them.
 pub async fn probe(host: Rc<Host>, node: ReplicaId) {
     let limit = host.limits.probe;
     let end = timeout(limit, ask_health(&host, node)).await.unwrap_or_else(|_| Outcome::TimedOut.into());
@@ -393,8 +407,10 @@
 async fn ask_health(host: &Host, node: ReplicaId) -> AttemptEnd {
     let names = &host.deployment.report;
     let target = if names.is_empty() { "/alive" } else { "/metrics/load" };
-    let Some(addr) = host.nodes.address(node) else { return Outcome::Refused.into() };
-    let Some(mut link) = host.nodes.connect(addr).await else { return Outcome::Refused.into() };
+    let (addr, mut link) = match host.nodes.reach(node).await {
+        Ok(reached) => reached,
+        Err(outcome) => return outcome.into(),
+    };
     let head = format!("GET {target} HTTP/1.1\r\nHost: backend.local\r\n\r\n");
     if link.wire.write(Bytes::from(head)).await.is_err() {
         return Outcome::Refused.into();
--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -8,6 +8,8 @@
 use tallypin_router::dialect::{read_load, Asked, Dialect, Event, Events};
 use tallypin_router::front::MessagesFront;
 use tallypin_router::http::{Bad, Body, Framing, Head, Part};
+use tallypin_router::limits::Limits;
+use tallypin_router::node_list::Page;
 
 #[test]
 fn heads() {
@@ -173,6 +175,77 @@
     insta::assert_snapshot!(errors.join("\n"));
 }
 
+#[test]
+fn nothing_on_the_wire_can_panic() {
+    let limits = common::config().limits;
+    let list = r#"{"version":1,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"active"}]}"#;
+    let good: Vec<Vec<u8>> = [
+        common::platform("Req-Extra: prefix=a,prompt_len=5\r\n", "{}"),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n".into(),
+        "5\r\nabcde\r\n0\r\n\r\n".into(),
+        common::CHAT.concat(),
+        common::MESSAGES.concat(),
+        r#"{"model":"m","max_tokens":9,"messages":[{"role":"user","content":"Hi"}]}"#.into(),
+        list.into(),
+        "TEXT eps=0.5, q=1".into(),
+    ]
+    .map(String::into_bytes)
+    .into();
+    let mut rng = fastrand::Rng::with_seed(5);
+    let (mut taken, mut turned) = (0, 0);
+    for round in 0..20_000 {
+        let mut bytes = good[round % good.len()].clone();
+        for _ in 0..rng.usize(0..4) {
+            let at = rng.usize(0..bytes.len());
+            match rng.u8(0..4) {
+                0 => bytes[at] = rng.u8(..),
+                1 => bytes.insert(at, rng.u8(..)),
+                2 => bytes.truncate(at.max(1)),
+                _ => bytes.extend_from_within(at..),
+            }
+        }
+        for read in [Head::request, Head::answer] {
+            let mut buf = BytesMut::from(&bytes[..]);
+            match read(&mut buf, &limits).map(|head| head.map(|h| (h.framing(), h.keeps()))) {
+                Ok(Some((Ok(framing), _))) => {
+                    taken += 1;
+                    let mut body = Body::new(framing);
+                    while let Ok(Some(Part::Bytes(_))) = body.next(&mut buf) {}
+                }
+                _ => turned += 1,
+            }
+        }
+        let (mut body, mut buf) = (Body::new(Framing::Chunked), BytesMut::from(&bytes[..]));
+        while let Ok(Some(Part::Bytes(_))) = body.next(&mut buf) {}
+        for dialect in [Dialect::Chat, Dialect::Messages] {
+            dialect.read(&bytes, rng.bool(), &mut Vec::new());
+        }
+        let asked = [Asked::chat(&bytes), Asked::messages(&bytes)];
+        asked.iter().flatten().for_each(|a| drop((a.chat_body(), a.messages_body(1), a.streaming_body())));
+        if let Ok(page) = serde_json::from_slice::<Page>(&bytes) {
+            let of = common::config().deployment;
+            for row in &page.servers {
+                assert_eq!(row.decode(&of).replica, tallypin::names::node(&row.id));
+            }
+        }
+        read_load(&String::from_utf8_lossy(&bytes), &["q".into()]);
+        tallypin::report::decode(&bytes);
+    }
+    assert!(taken > 1000 && turned > 1000, "{taken} {turned}");
+}
+
+#[test]
+fn limits_keep_to_the_machine_they_were_made_for() {
+    let of = common::config().deployment;
+    for (memory, sockets) in [(192, 1024), (2048, 4096), (16, 64)] {
+        let l = Limits::new(memory, sockets, &of);
+        let descriptors = l.clients + l.clients_refused + l.node_connections;
+        // Standard streams, the runtime's own, listeners, the list, peers, an agent check.
+        assert!(descriptors + 16 <= sockets && l.clients >= 10, "{descriptors} of {sockets}");
+        assert!(l.bodies <= memory << 18 && l.idle_node.as_nanos() < u128::from(of.idle_close));
+    }
+}
+
 #[test]
 fn configuration_that_is_malformed_is_named_by_its_field() {
     let cases = [
--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -11,7 +11,7 @@
 use tallypin_router::dialect::Dialect::Chat;
 use tallypin_router::limits::Limits;
 use tallypin_router::peers::Peers;
-use tallypin_router::{health, shutdown};
+use tallypin_router::{health, node, shutdown};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
@@ -185,6 +185,72 @@
     });
 }
 
+#[test]
+fn a_client_that_takes_nothing_for_too_long_has_left() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Flood]);
+        let router = Router::new(Chat, &[&node], |l| l.write = 60 * MS).await;
+        let mut client = Client::to(router.addr).await;
+        client.send(&platform("", "{}")).await;
+        while node.next().await != Seen::GivenUp {}
+        assert_eq!((router.tallies().left, router.open()), (1, 0));
+    });
+}
+
+#[test]
+fn a_body_in_chunks_is_asked_for_and_passed_on_whole() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let router = Router::new(Chat, &[&node], |_| {}).await;
+        let mut client = Client::to(router.addr).await;
+        let fields = "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n";
+        client.send(&platform(fields, "").replace("Content-Length: 0\r\n", "")).await;
+        assert_eq!(client.answer().await.0, 100);
+        client.send("2\r\n{\"\r\n4\r\na\":1\r\n1\r\n}\r\n0\r\n\r\n").await;
+        assert_eq!(client.answer().await.0, 200);
+        assert_eq!(node.next_request().await.1, b"{\"a\":1}");
+    });
+}
+
+#[test]
+fn what_fails_for_want_of_a_connection_here_is_not_held_against_the_node() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Mute]);
+        let router = Router::new(Chat, &[&node], |l| l.node_connections = 1).await;
+        let mut first = Client::to(router.addr).await;
+        first.send(&platform("", "{}")).await;
+        node.next_request().await;
+        assert_eq!(Client::to(router.addr).await.ask("").await.0, 503);
+        assert_eq!(router.tallies().outcomes[7], 1, "skipped");
+        drop(first);
+        while node.next().await != Seen::GivenUp {}
+        assert_eq!(Client::to(router.addr).await.ask("").await.0, 200, "the node is not shunned");
+    });
+}
+
+#[test]
+fn a_probe_asks_for_the_load_and_gives_its_connection_back() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let router = Router::new(Chat, &[], |_| {}).await;
+        router.list([row("s-1", listener.local_addr().unwrap(), "active")]);
+        let probe = || spawn_local(node::probe(router.host.clone(), tallypin::names::node("s-1")));
+        let first = probe();
+        let mut node = Client { stream: listener.accept().await.unwrap().0, buf: Vec::new() };
+        for next in [Some(probe), None] {
+            let (head, _) = node.message().await.unwrap();
+            assert!(head.starts_with("GET /metrics/load HTTP/1.1\r\n"), "{head}");
+            node.send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nTEXT q=2").await;
+            if let Some(next) = next {
+                until(|| first.is_finished()).await;
+                next();
+            }
+        }
+    });
+}
+
 #[test]
 fn bad_input_is_turned_away_and_never_reaches_a_node() {
     run(async {
