--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -146,6 +146,27 @@
     });
 }
 
+#[test]
+fn a_node_that_has_just_started_is_not_pushed_over() {
+    run(async {
+        let (warm, young) = (Node::new(Chat).await, Node::new(Chat).await);
+        let router = Router::new(Chat, &[&warm], |_| {}).await;
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let mut got = Vec::new();
+        // Unix time on the list, whatever the module's own clock: started now, or long ago.
+        for (id, started_ms) in [("now", unix.as_millis() as u64), ("once", 0)] {
+            let mut row_of_young = row(id, young.addr, "active");
+            row_of_young.started_ms = started_ms;
+            router.list([row("s-0", warm.addr, "active"), row_of_young]);
+            for _ in 0..20 {
+                assert_eq!(Client::to(router.addr).await.ask("").await.0, 200);
+            }
+            got.push(young.so_far().1);
+        }
+        assert!(got[0] <= 2 && got[1] > 2, "{got:?}");
+    });
+}
+
 #[test]
 fn a_client_that_leaves_frees_what_it_held() {
     run(async {
