Weigh reading less in a pick, and give cold model nodes half as much again

A pick weighed reading 8 to 48 times its time, so sessions stayed with a home that had turned slow; and a cold node got less than the rule and its capacity allow.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,12 +61,13 @@
 pub(crate) const FIT_KEEP: f64 = 0.995;
 /// Weight of the prior in that fit, tokens squared: that of ten samples 1,000 tokens off the mean.
 pub(crate) const FIT_PRIOR: f64 = 1e7;
-/// Reading a prompt also holds up the streams that share the replica: in ranking it counts so often.
-const READ_WEIGHT: f64 = 8.0;
+/// Reading a prompt also holds up the streams that share the replica: in ranking it counts so often. Much
+/// more, and sessions stay with a home that has turned slow.
+const READ_WEIGHT: f64 = 3.0;
 /// Unread tokens of a mean request before any sample says otherwise.
 const MEAN_UNREAD: f64 = 1000.0;
 /// And more the more of the aim first tokens take: in a jam a moved session makes the work of many.
-const READ_STRAIN: f64 = 5.0;
+const READ_STRAIN: f64 = 1.0;
 /// Weight of a new sample in the pace of a kind of machine: answers differ much in length.
 pub(crate) const PACE_WEIGHT: f64 = 0.02;
 /// The most kinds told apart.
@@ -96,6 +97,10 @@
 /// The least advice to a client refused for want of room.
 const LEAST_ADVICE: Nanos = SECOND / 10;
 
+/// A cold replica's flow against the mean's warm share. In a rolling deploy the warm ones run over while
+/// the mean leaves room; the rule allows 2.5 times the capacity, of which the mean flow is a part.
+const COLD_FLOW: f64 = 1.5;
+
 /// Timer tokens.
 const TICK: u64 = 1;
 const WATCH: u64 = 2;
@@ -636,15 +641,15 @@
         (0.5 + 0.5 * unread / self.fleet.mean_unread.max(1.0)).max(1.0)
     }
 
-    /// Rule 4: this gateway sends a cold replica at most its own mean flow per replica, times the warm
-    /// share. N gateways doing so sum to the fleet's mean flow, however uneven they are. The random
-    /// first credit guards against all gateways sending their first request at once.
+    /// Rule 4: this gateway sends a cold replica at most `COLD_FLOW` times its own mean flow per replica,
+    /// times the warm share. N gateways doing so sum to that of the fleet, however uneven they are. The
+    /// random first credit guards against all gateways sending their first request at once.
     fn cold_credit(&self, now: Nanos, r: &Replica, from: Nanos) -> f64 {
         let warmed = now.saturating_sub(from) as f64 / self.set.cold.max(1) as f64;
         let share = self.set.cold_share + (1.0 - self.set.cold_share) * warmed.min(1.0);
         let flow = self.fleet.flow / self.ready.len().max(1) as f64;
         let dt = now.saturating_sub(r.cold_at) as f64 / SECOND as f64;
-        (r.cold_credit + dt * flow * share).min(2.0)
+        (r.cold_credit + dt * flow * share * COLD_FLOW).min(2.0)
     }
 
     // ---- Attempts ----
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -188,3 +188,30 @@
     let (fast, slow) = (admitted(10 * MS), admitted(2 * SECOND));
     assert!(slow * 2 < fast, "{slow} under strain, {fast} without");
 }
+
+#[test]
+fn a_home_that_turns_slow_does_not_hold_its_sessions() {
+    // Met in rolling deploys with slow replicas: what a home had kept outweighed any wait for it.
+    let mut w = World::with_replicas(settings(1, 0), 5, 6);
+    let session = Some(SessionKey(11));
+    let mut turn = |n: u64, slow: Option<ReplicaId>| {
+        // Others' requests keep the waits of all replicas known.
+        let of_others = (1..8).map(|k| plain(1000 * k + n));
+        let r = Request { session, prompt_tokens: 900, prefix_tokens: 200, ..request(n) };
+        let mut to = None;
+        for r in of_others.chain([Request { prefix: Some(PrefixKey(1)), ..r }]) {
+            w.run_to(w.now + 5 * MS);
+            let id = r.id;
+            to = World::sent_to(&w.demand(r));
+            w.run_to(w.now + if to == slow { 500 } else { 20 } * MS);
+            w.first(id, 0);
+            w.end(id, 0, Outcome::Done);
+        }
+        to.expect("sent")
+    };
+    let first: Vec<ReplicaId> = (0..60).map(|n| turn(n, None)).collect();
+    let home = first[59];
+    assert!(first[20..].iter().all(|to| *to == home), "a session stays where its prompt is kept");
+    let later = (60..160).map(|n| turn(n, Some(home))).filter(|to| *to == home).count();
+    assert!(later < 30, "{later} of 100 still go to the slow home");
+}
