--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,8 +76,9 @@
 const CROSS_SCALE: f64 = 0.05;
 /// Crossing a zone is worth this many aims of waiting for each unit of its price.
 const CROSS_AIMS: f64 = 3.0;
-/// An attempt may wait for its first token for this share of the aim while another is affordable.
-const TRY_SHARE: f64 = 0.6;
+/// An attempt may wait for its first token for this share of the aim while another is affordable. What is
+/// called off goes on where it ran: sooner, and a jam feeds itself.
+const TRY_SHARE: f64 = 1.2;
 /// It may read its whole prompt so many times over, as others may be read before it.
 const READ_PATIENCE: f64 = 1.5;
 /// And always for so many times what first tokens take on the average.
