Read the configuration again on SIGHUP and follow the node list to its new place

Checked: nothing in main.rs or shutdown.rs took SIGHUP over, so its default action ended the process, and node_list::keep held the address of the start for good. Ruled out: memory (0 of 80 MB), descriptors (51 of 768).

main.rs installs the handler before anything else; reload.rs reads the file, keeps the old configuration if it is malformed and says which field, and hands a new discovery to node_list.rs. That asks the new place for the whole list, again soon if it fails, and drops the old watch only once the new one has told it.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -93,15 +93,23 @@
 }
 
 impl Config {
-    /// Reads the configuration that the environment names; variables have the last word on addresses.
+    /// Reads the configuration that the environment names, at the start: variables have the last word.
     pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Config, Malformed> {
+        let mut config = Config::reread(&var)?;
+        if let Some(value) = var("PROXY_DISCOVERY") {
+            config.node_list = value.parse().map_err(|e| Malformed::new("PROXY_DISCOVERY", e))?;
+        }
+        Ok(config)
+    }
+
+    /// Reads it again while the router runs. Where the node list is, the file says from then on: the
+    /// variable is as old as the process, and would undo every move.
+    pub fn reread(var: impl Fn(&str) -> Option<String>) -> Result<Config, Malformed> {
         let path = var("PROXY_CONFIG").ok_or_else(|| Malformed::new("PROXY_CONFIG", "not set"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| Malformed::new("PROXY_CONFIG", e))?;
         let mut config = Config::parse(&text)?;
-        for (name, to) in [("PROXY_LISTEN", &mut config.listen), ("PROXY_DISCOVERY", &mut config.node_list)] {
-            if let Some(value) = var(name) {
-                *to = value.parse().map_err(|e| Malformed::new(name, e))?;
-            }
+        if let Some(value) = var("PROXY_LISTEN") {
+            config.listen = value.parse().map_err(|e| Malformed::new("PROXY_LISTEN", e))?;
         }
         if let Some(name) = var("PROXY_NAME") {
             config.name = name;
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -10,7 +10,7 @@
 use rustc_hash::FxHashMap;
 use tallypin::api::{Nanos, RequestId, SettingsError};
 use tallypin::settings::Deployment;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::AbortHandle;
 
 use crate::config::Config;
@@ -135,6 +135,8 @@
     pub peers: Option<Peers>,
     /// How far the end has come.
     pub drain: Drain,
+    /// Where the node list is; a new configuration may name another place.
+    pub list_at: watch::Sender<SocketAddr>,
     /// Asks for a watch of the node list.
     pub list_wanted: Notify,
     /// Asks the longest idle client connection to close.
@@ -159,7 +161,7 @@
     /// A router by a configuration, with model nodes of this dialect. Its tasks are started by
     /// [`crate::front::serve`] and its like.
     pub fn new(config: Config, nodes: Dialect, peers: Option<Peers>) -> Result<Rc<Host>, SettingsError> {
-        let Config { seed, deployment, limits, .. } = config;
+        let Config { seed, deployment, limits, node_list, .. } = config;
         let slack = limits.slack.as_nanos() as Nanos;
         Ok(Rc::new(Host {
             core: RefCell::new(Core::new(deployment.decisions.clone(), seed, slack)?),
@@ -167,6 +169,7 @@
             nodes: Nodes::new(nodes, &limits),
             peers,
             drain: Drain::new(),
+            list_at: watch::Sender::new(node_list),
             list_wanted: Notify::new(),
             client_unwanted: Notify::new(),
             client_closed: Notify::new(),
@@ -283,10 +286,10 @@
     }
 
     /// Starts what a router does beside its clients.
-    pub fn start(self: &Rc<Self>, node_list: SocketAddr) {
+    pub fn start(self: &Rc<Self>) {
         tokio::task::spawn_local(self.clone().keep_time());
         tokio::task::spawn_local(peers::listen(self.clone()));
-        tokio::task::spawn_local(node_list::keep(self.clone(), node_list));
+        tokio::task::spawn_local(node_list::keep(self.clone()));
         let host = self.clone();
         tokio::task::spawn_local(async move {
             let mut every = tokio::time::interval(host.limits.idle_node / 16);
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod node;
 pub mod node_list;
 pub mod peers;
+pub mod reload;
 pub mod shutdown;
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -51,6 +51,10 @@
     pub slack: Duration,
     /// A watch of the node list without a line for so long is lost.
     pub list_silence: Duration,
+    /// A new place of the node list must have answered within this, or it is asked once more.
+    pub list_answer: Duration,
+    /// And after a failure there it is asked again so soon.
+    pub list_again: Duration,
     /// Clients still come for so long after the order to stop.
     pub grace: Duration,
     /// Then connections that carry nothing are read for so long once more: a request may have crossed.
@@ -92,6 +96,8 @@
             probe: Duration::from_millis(500),
             slack: nanos(of.answer_slack).min(Duration::from_millis(10)),
             list_silence: Duration::from_secs(4),
+            list_answer: Duration::from_millis(2500),
+            list_again: Duration::from_millis(150),
             grace: Duration::from_millis(500),
             last_look: Duration::from_millis(20),
             finish: Duration::from_secs(60),
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -9,6 +9,7 @@
 use tallypin_router::host::Host;
 use tallypin_router::node_list::{self, Page};
 use tallypin_router::peers::Peers;
+use tallypin_router::reload::{self, Running};
 use tallypin_router::{health, shutdown};
 use tokio::net::TcpListener;
 
@@ -107,7 +108,9 @@
 }
 
 async fn serve(config: Config, messages: Option<MessagesFront>) -> Result<(), Box<dyn std::error::Error>> {
-    let (listen, node_list, known) = (config.listen, config.node_list, config.known.clone());
+    // First of all: until it stands, the signal would end the program.
+    let hangup = reload::on_hangup()?;
+    let (listen, known, running) = (config.listen, config.known.clone(), Running::of(&config));
     let name = config.name.clone();
     let peers = match config.peers.clone() {
         Some(addresses) => Some(Peers::new(addresses, config.deployment.decisions.me).await?),
@@ -118,7 +121,7 @@
     // Old or empty, it sets the module going.
     let known = known.unwrap_or(Page { version: 0, full: true, servers: Vec::new() });
     node_list::take(&host, &known, tallypin::api::ListKind::Cached);
-    host.start(node_list);
+    host.start();
     if let Some(front) = messages {
         if let Some(at) = front.file.agent_check {
             tokio::task::spawn_local(health::agent(host.clone(), TcpListener::bind(at).await?));
@@ -128,6 +131,8 @@
     }
     let listener = TcpListener::bind(listen).await?;
     tokio::task::spawn_local(front::serve(host.clone(), listener, Front::Platform));
+    let read = || Config::reread(|name| std::env::var(name).ok());
+    tokio::task::spawn_local(reload::keep(host.clone(), hangup, running, read));
     eprintln!("tallypin: {name} listens on {listen}");
     shutdown::on_signal(host.clone()).await?;
     eprintln!("tallypin: {name} ends: {:?}", host.with(|core, _| core.tallies().clone()));
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -1,7 +1,10 @@
 //! The node list: its form, and the watch on it. When to ask is the module's decision; a lost watch is told
 //! to it, and what is held goes on being used.
 
+use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -10,6 +13,7 @@
 use tallypin::names;
 use tallypin::settings::Deployment;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::host::Host;
@@ -86,25 +90,87 @@
     host.nodes.retain(|id| !gone(id));
 }
 
-/// Watches the list whenever the module asks for it. Ends never.
-pub async fn keep(host: Rc<Host>, at: SocketAddr) {
-    let mut version = None;
-    host.list_wanted.notified().await;
+/// A watch that runs until it is lost, and then says why.
+type Watching = Pin<Box<dyn Future<Output = String>>>;
+
+/// What goes with one place of the list: its versions may be its own.
+#[derive(Clone, Default)]
+struct Place {
+    version: Rc<Cell<Option<u64>>>,
+    /// Told when it has said something of the list.
+    answered: Rc<Notify>,
+}
+
+/// Watches the list whenever the module asks for it, and goes where the configuration says that it is. The
+/// old place is left only when the new one has told the whole list: until then its news goes on counting,
+/// and what is held goes on being used. Ends never.
+pub async fn keep(host: Rc<Host>) {
+    let mut named = host.list_at.subscribe();
+    let mut at = *named.borrow_and_update();
+    let (mut place, mut next_place) = (Place::default(), Place::default());
+    let (mut current, mut next): (Option<Watching>, Option<Watching>) = (None, None);
     loop {
         tokio::select! {
+            biased;
+            moved = named.changed() => {
+                // It fails only when the sender is gone, and the host holds that.
+                if moved.is_err() { return };
+                at = *named.borrow_and_update();
+                next_place = Place::default();
+                next = Some(Box::pin(move_to(host.clone(), at, next_place.clone(), false)));
+            }
+            () = next_place.answered.notified(), if next.is_some() => {
+                eprintln!("node list: now from {at}");
+                (current, place) = (next.take(), next_place.clone());
+            }
+            why = running(&mut next), if next.is_some() => {
+                eprintln!("node list: {at}: {why}; asked again");
+                next = Some(Box::pin(move_to(host.clone(), at, next_place.clone(), true)));
+            }
             // A further wish means that the last one has not been answered in good time.
-            () = host.list_wanted.notified() => {}
-            why = watch(&host, at, &mut version) => {
+            () = host.list_wanted.notified() => {
+                if next.is_none() {
+                    current = Some(Box::pin(watch(host.clone(), at, place.clone())));
+                }
+            }
+            why = running(&mut current), if current.is_some() => {
+                current = None;
                 eprintln!("node list: watch lost: {why}");
                 host.with(|core, now| core.list(now, ListKind::Failed, Vec::new()));
-                host.list_wanted.notified().await;
             }
         }
     }
 }
 
+async fn running(watching: &mut Option<Watching>) -> String {
+    match watching {
+        Some(watching) => watching.await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Follows the list at a new place; it is asked at once, as the old place may end soon, and again soon if it
+/// fails. Whoever never answers is not waited for.
+async fn move_to(host: Rc<Host>, at: SocketAddr, place: Place, again: bool) -> String {
+    if again {
+        tokio::time::sleep(host.limits.list_again).await;
+    }
+    let mut watching = std::pin::pin!(watch(host.clone(), at, place.clone()));
+    let early = async {
+        tokio::time::sleep(host.limits.list_answer).await;
+        while place.version.get().is_some() {
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::select! {
+        why = &mut watching => why,
+        () = early => "no answer in time".into(),
+    }
+}
+
 /// Follows the list until the watch is lost; says why.
-async fn watch(host: &Rc<Host>, at: SocketAddr, version: &mut Option<u64>) -> String {
+async fn watch(host: Rc<Host>, at: SocketAddr, place: Place) -> String {
+    let host = &host;
     let limits = &host.limits;
     let stream = match timeout(limits.list_silence, TcpStream::connect(at)).await {
         Ok(Ok(stream)) => stream,
@@ -112,7 +178,7 @@
         Err(_) => return "not connected in time".into(),
     };
     let mut wire = Wire::new(stream);
-    let since = version.map_or(String::new(), |v| format!("&since={v}"));
+    let since = place.version.get().map_or(String::new(), |v| format!("&since={v}"));
     let request = format!("GET /discovery/hosts?follow=1{since} HTTP/1.1\r\nHost: discovery\r\n\r\n");
     if let Err(e) = wire.write(Bytes::from(request)).await {
         return e.to_string();
@@ -147,8 +213,9 @@
                         Ok(page) => page,
                         Err(e) => return format!("malformed line: {e}"),
                     };
-                    *version = Some(page.version);
+                    place.version.set(Some(page.version));
                     take(host, &page, if page.full { ListKind::Full } else { ListKind::Delta });
+                    place.answered.notify_one();
                 }
                 if held.len() > limits.list_line {
                     return "line too long".into();
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -343,21 +343,15 @@
     pub async fn new(dialect: Dialect, nodes: &[&Node], change: impl FnOnce(&mut Limits)) -> Router {
         let mut config = config();
         change(&mut config.limits);
-        Router::by(config, dialect, nodes, None, "127.0.0.1:9".parse().unwrap()).await
+        Router::by(config, dialect, nodes, None).await
     }
 
-    pub async fn by(
-        config: Config,
-        dialect: Dialect,
-        nodes: &[&Node],
-        peers: Option<Peers>,
-        list: SocketAddr,
-    ) -> Router {
+    pub async fn by(config: Config, dialect: Dialect, nodes: &[&Node], peers: Option<Peers>) -> Router {
         let file =
             include_str!("../../../deploy/messages.json").replace("flughafen-schalter", "grenzstellen");
         let front = MessagesFront::parse(&file, &config.deployment).expect("the file is good");
         let host = Host::new(config, dialect, peers).unwrap();
-        host.start(list);
+        host.start();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (addr, messages) = (listener.local_addr().unwrap(), second.local_addr().unwrap());
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -52,24 +52,40 @@
     std::fs::remove_dir_all(&dir).unwrap();
 }
 
+/// Guards against a program that SIGHUP ends, as it does to whoever has no handler for it.
 #[test]
-fn sigterm_ends_it_with_exit_code_0() {
+fn sighup_has_the_configuration_read_again_and_sigterm_ends_it_with_exit_code_0() {
     // A port that was free a moment ago: the program names none that it picks itself.
     let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let path = std::env::temp_dir().join(format!("tallypin-term-{}.json", std::process::id()));
-    std::fs::write(&path, include_str!("../../examples/config.json")).unwrap();
+    let good = include_str!("../../examples/config.json");
+    std::fs::write(&path, good).unwrap();
     let mut serve = tallypin();
     serve.arg("serve").env("PROXY_CONFIG", &path).env("PROXY_LISTEN", listen.to_string());
     let mut child = serve.env("PROXY_DISCOVERY", "127.0.0.1:9").spawn().unwrap();
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-    assert!(lines.next().unwrap().unwrap().contains(&listen.to_string()), "it says where it listens");
+    let mut said = |words: &str| lines.by_ref().map(Result::unwrap).find(|l| l.contains(words)).expect(words);
+    said(&listen.to_string());
+    let signal = |name: &str| {
+        let sent = Command::new("kill").args([name, &child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    };
+    std::fs::write(&path, good.replace("\"discovery\"", "\"discovered\"")).unwrap();
+    signal("-HUP");
+    said("configuration kept as it was: discovery: missing field");
+    std::fs::write(&path, good.replace("\"n1\"", "\"n2\"")).unwrap();
+    signal("-HUP");
+    said("name has changed: it takes a restart");
+    // The file's word, not the variable's that the start went by.
+    said("the node list moves to 127.0.0.1:8500");
     let mut client = TcpStream::connect(listen).unwrap();
     client.write_all(b"GET /up HTTP/1.1\r\nHost: b\r\n\r\n").unwrap();
     let mut status = [0; 12];
     client.read_exact(&mut status).unwrap();
     assert_eq!(&status, b"HTTP/1.1 503", "no model node is known");
-    let killed = Command::new("kill").arg(child.id().to_string()).status().unwrap();
-    assert!(killed.success());
+    for name in ["-HUP", "-TERM", "-HUP"] {
+        signal(name);
+    }
     assert_eq!(child.wait().unwrap().code(), Some(0));
     std::fs::remove_file(&path).unwrap();
 }
--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -11,6 +11,7 @@
 use tallypin_router::dialect::Dialect::Chat;
 use tallypin_router::limits::Limits;
 use tallypin_router::peers::Peers;
+use tallypin_router::reload::{self, Running};
 use tallypin_router::{health, node, shutdown};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -366,36 +367,38 @@
     });
 }
 
+/// The next call to a stand-in for the node list, and its head.
+async fn next_call(list: &TcpListener) -> (Client, String) {
+    let (stream, _) = list.accept().await.unwrap();
+    let mut call = Client { stream, buf: Vec::new() };
+    let (head, _) = call.message().await.unwrap();
+    (call, head)
+}
+
+const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// One object of the list, as a chunk.
+fn page(version: u64, full: bool, id: &str, node: &Node, state: &str) -> String {
+    let server = format!(r#"{{"id":"{id}","addr":"{}","state":"{state}"}}"#, node.addr);
+    let page = format!("{{\"version\":{version},\"full\":{full},\"servers\":[{server}]}}\n");
+    format!("{:x}\r\n{page}\r\n", page.len())
+}
+
 #[test]
 fn a_lost_list_goes_on_being_used_and_is_asked_for_again() {
     run(async {
         let node = Node::new(Chat).await;
         let list = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let at = list.local_addr().unwrap();
         let mut config = config();
-        config.limits.list_silence = 100 * MS;
-        let router = Router::by(config, Chat, &[], None, at).await;
-        let next = || async {
-            let (stream, _) = list.accept().await.unwrap();
-            let mut call = Client { stream, buf: Vec::new() };
-            let (head, _) = call.message().await.unwrap();
-            (call, head)
-        };
-        let (mut call, head) = next().await;
+        (config.limits.list_silence, config.node_list) = (100 * MS, list.local_addr().unwrap());
+        let router = Router::by(config, Chat, &[], None).await;
+        let (mut call, head) = next_call(&list).await;
         assert!(head.starts_with("GET /discovery/hosts?follow=1 HTTP/1.1\r\n"), "{head}");
-        let page = format!(
-            r#"{{"version":41,"full":true,"servers":[{{"id":"s-1","addr":"{}","state":"active"}}]}}"#,
-            node.addr
-        );
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{page}\n\r\n",
-            page.len() + 1
-        );
-        call.send(&text).await;
+        call.send(&(WATCH.to_string() + &page(41, true, "s-1", &node, "active"))).await;
         until(|| router.host.nodes.ready() == 1).await;
         // Silent for too long, malformed, refused: each time the list is kept and asked for anew.
         for answer in ["", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n", "HTTP/1.1 503 No\r\n\r\n"] {
-            let (mut again, head) = next().await;
+            let (mut again, head) = next_call(&list).await;
             assert!(head.contains("since=41"), "{head}");
             assert_eq!(Client::to(router.addr).await.ask("").await.0, 200);
             again.send(answer).await;
@@ -405,6 +408,46 @@
     });
 }
 
+/// Guards against a list that is followed for good where the start found it: its place moves, the old one
+/// ends, and nothing further would be heard.
+#[test]
+fn the_node_list_moves_and_what_is_held_counts_until_the_new_place_answers() {
+    run(async {
+        let (a, b) = (Node::new(Chat).await, Node::new(Chat).await);
+        let (old, new) = (
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        );
+        let mut config = config();
+        (config.limits.list_again, config.node_list) = (10 * MS, old.local_addr().unwrap());
+        let mut moved = config.clone();
+        let running = Running::of(&config);
+        let router = Router::by(config, Chat, &[], None).await;
+        let (mut first, _) = next_call(&old).await;
+        first.send(&(WATCH.to_string() + &page(41, true, "s-1", &a, "active"))).await;
+        until(|| router.host.nodes.ready() == 1).await;
+        moved.node_list = new.local_addr().unwrap();
+        reload::take(&router.host, &running, &moved);
+        // Its versions are its own: the whole list is asked for, and again when that fails.
+        for _ in 0..2 {
+            let (mut call, head) = next_call(&new).await;
+            assert!(!head.contains("since"), "{head}");
+            call.send("HTTP/1.1 503 No\r\n\r\n").await;
+        }
+        let (mut second, _) = next_call(&new).await;
+        first.send(&page(42, false, "s-2", &b, "active")).await;
+        until(|| router.host.nodes.ready() == 2).await;
+        second.send(&(WATCH.to_string() + &page(3, true, "s-2", &b, "active"))).await;
+        assert!(first.message().await.is_none(), "the old watch is closed");
+        until(|| router.host.nodes.ready() == 1).await;
+        assert_eq!(Client::to(router.addr).await.ask("").await.0, 200);
+        // Lost, it is asked for where it is now, from what that place has told.
+        drop(second);
+        let (_, head) = next_call(&new).await;
+        assert!(head.contains("since=3"), "{head}");
+    });
+}
+
 #[test]
 fn datagrams_go_between_routers_and_only_so_long_and_only_from_peers() {
     run(async {
