--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -7,6 +7,7 @@
 
 use rustc_hash::FxHashMap;
 use tallypin::api::*;
+use tallypin::view::Seen;
 use tallypin::Balancer;
 
 /// A request as a front hands it in.
@@ -113,12 +114,16 @@
     Outcome::Skipped,
 ];
 
+/// Fewer times noted in vain are not worth looking through all of them.
+const STALE_LEAST: usize = 256;
+
 struct Attempt {
     begun: Nanos,
     settled: bool,
 }
 
 struct Open {
+    taken: Nanos,
     deadline: Nanos,
     attempts: Vec<Attempt>,
     /// The attempt whose stream the client has.
@@ -146,6 +151,8 @@
     slack: Nanos,
     open: FxHashMap<RequestId, Open>,
     due: BinaryHeap<Reverse<(Nanos, Due)>>,
+    /// Entries of `due` that may be of no more use.
+    stale: usize,
     last_id: u64,
     orders: Vec<Order>,
     actions: Vec<Action>,
@@ -164,6 +171,7 @@
             slack,
             open: FxHashMap::default(),
             due: BinaryHeap::new(),
+            stale: 0,
             last_id: 0,
             orders: Vec::new(),
             actions: Vec::new(),
@@ -177,7 +185,8 @@
         self.last_id += 1;
         let id = RequestId(self.last_id);
         let deadline = now.saturating_add(ask.left);
-        self.open.insert(id, Open { deadline, attempts: Vec::new(), bound: None, answered: false });
+        let open = Open { taken: now, deadline, attempts: Vec::new(), bound: None, answered: false };
+        self.open.insert(id, open);
         self.due.push(Reverse((deadline.saturating_add(self.slack), Due::Deadline(id))));
         self.tallies.taken += 1;
         self.tallies.returned += u64::from(ask.returned);
@@ -238,6 +247,21 @@
         self.work_off(now);
     }
 
+    /// The end is near for what was taken after a point in time: streams break off, so that their clients
+    /// ask another router for the rest, and what has not begun is refused.
+    pub fn cut(&mut self, now: Nanos, taken_after: Nanos) {
+        let late = |(id, o): (&RequestId, &Open)| (!o.answered && o.taken > taken_after).then_some(*id);
+        let mut late: Vec<RequestId> = self.open.iter().filter_map(late).collect();
+        late.sort_unstable();
+        for id in late {
+            let begun = self.open.get(&id).is_some_and(|o| o.bound.is_some());
+            self.answer(id, if begun { FinalAnswer::Broken } else { FinalAnswer::Refused(0, Refusal::Room) });
+            self.tell(now, Event::ClientGone(id));
+            self.close_attempts(now, id, None);
+            self.work_off(now);
+        }
+    }
+
     /// News of the node list.
     pub fn list(&mut self, now: Nanos, kind: ListKind, rows: Vec<ReplicaRow>) {
         self.tell(now, Event::List { kind, rows });
@@ -408,7 +432,34 @@
 
     fn forget_if_over(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.answered && o.attempts.iter().all(|a| a.settled)) {
-            self.open.remove(&id);
+            let over = self.open.remove(&id);
+            self.stale += 1 + over.map_or(0, |o| o.attempts.len());
+            self.clear_due();
+        }
+    }
+
+    /// Guards against requests that wait for long and are over soon: what was to be looked at when their
+    /// time is up would else stay until then.
+    fn clear_due(&mut self) {
+        if self.stale < STALE_LEAST || self.stale * 2 < self.due.len() {
+            return;
         }
+        self.stale = 0;
+        let open = &self.open;
+        self.due.retain(|Reverse((_, due))| match due {
+            Due::Module(_) => true,
+            Due::Attempt(id, attempt) => open.get(id).is_some_and(|o| o.out(*attempt).is_some()),
+            Due::Deadline(id) => open.contains_key(id),
+        });
+    }
+
+    /// What the module holds of the model nodes that take work.
+    pub fn view(&self, now: Nanos) -> Vec<Seen> {
+        self.module.view(now)
+    }
+
+    /// How many times to look at something are noted.
+    pub fn noted(&self) -> usize {
+        self.due.len()
     }
 }
--- a/router/src/dialect/mod.rs
+++ b/router/src/dialect/mod.rs
@@ -254,7 +254,7 @@
     let Ok(o) = serde_json::from_slice::<Object>(data) else { return to.push(Event::Unknown) };
     let usage = |u: Usage| {
         // The prompt's count leaves out what was found kept.
-        let prompt = u.input_tokens.map(|n| n + u.cache_read_input_tokens.unwrap_or(0));
+        let prompt = u.input_tokens.map(|n| n.saturating_add(u.cache_read_input_tokens.unwrap_or(0)));
         Event::Usage { prompt, kept: u.cache_read_input_tokens, answer: u.output_tokens }
     };
     // The name may stand in the event's line, in the data, or in both.
@@ -305,6 +305,8 @@
         .split(',')
         .filter_map(|pair| pair.split_once('='))
         .filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?)))
+        // What is no load is none, and does not reach the decisions.
+        .filter(|(_, value)| (0.0..=ABSURD_LOAD).contains(value))
         .collect();
     let find = |name: &String| {
         let found = pairs.iter().find(|(n, _)| n == name || alias(n) == alias(name));
@@ -313,6 +315,9 @@
     names.iter().map(find).collect()
 }
 
+/// A value of a load report above this is none.
+const ABSURD_LOAD: f64 = 1e9;
+
 /// Reports use the long names of values, settings the short ones.
 fn alias(name: &str) -> &str {
     match name {
--- a/router/src/dialect/write.rs
+++ b/router/src/dialect/write.rs
@@ -163,7 +163,7 @@
         let (prompt, kept, tokens) =
             (end.prompt.unwrap_or(0), end.kept.unwrap_or(0), end.tokens.unwrap_or(0));
         let usage = json!({
-            "prompt_tokens": prompt, "completion_tokens": tokens, "total_tokens": prompt + tokens,
+            "prompt_tokens": prompt, "completion_tokens": tokens, "total_tokens": prompt.saturating_add(tokens),
             "prompt_tokens_details": {"cached_tokens": kept},
         });
         to.push_str(&format!("data: {}\n\n", json!({"choices": [], "usage": usage})));
--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -203,7 +203,9 @@
             body,
             text: !(same && asked.stream),
         };
-        let mut ticket = host.submit(ask, prompt);
+        let Some(mut ticket) = host.submit(ask, prompt) else {
+            return turn(host, wire, Turned::Twice).await;
+        };
         let mut head = Bytes::from(format!("{BEGUN}{id}\r\n\r\n"));
         let mut writer = MessagesWriter::new(&id, &asked.model, prompt_tokens);
         let (mut whole, mut failed) = (Answer::default(), false);
@@ -298,7 +300,7 @@
     };
     let fields = format!("{fields}Content-Type: application/json\r\n");
     write_whole(host, wire, status, &fields, shape(kind, why).to_string().into()).await?;
-    Ok(Then::Next)
+    Ok(Then::Refused)
 }
 
 async fn refuse(host: &Host, wire: &mut Wire, why: Unfit) -> io::Result<Then> {
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -6,13 +6,15 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::{Buf, Bytes};
 pub use messages::MessagesFront;
 use tallypin::api::Nanos;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
+use crate::clients::{Client, Idling};
 use crate::health;
 use crate::host::{HeldBody, Host, Piece, Ticket};
 use crate::http::{reason, Bad, Body, Framing, Head, Part, Start, Wire};
@@ -65,6 +67,8 @@
     Full,
     /// It did not come whole in time.
     Slow,
+    /// It bears the name of another one.
+    Twice,
 }
 
 impl Turned {
@@ -79,6 +83,7 @@
             Turned::Method => 405,
             Turned::Full => 503,
             Turned::Slow => 408,
+            Turned::Twice => 409,
         }
     }
 }
@@ -94,6 +99,8 @@
 pub enum Then {
     /// Another request may come.
     Next,
+    /// The same, but this one was refused or no request that could be taken.
+    Refused,
     /// It is closed, at once.
     Close,
 }
@@ -104,8 +111,9 @@
     let most = host.limits.clients + host.limits.clients_refused;
     loop {
         // Beyond this, connections wait where the machine holds them, and cost no descriptor.
-        while host.clients.get() >= most {
-            host.client_closed.notified().await;
+        while host.clients.open() >= most {
+            host.clients.make_room();
+            host.clients.one_closed().await;
         }
         let accepted = tokio::select! {
             biased;
@@ -115,12 +123,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                host.clients.set(host.clients.get() + 1);
-                if host.clients.get() > host.limits.clients {
-                    host.client_unwanted.notify_one();
-                }
-                let counted = Counted(host.clone());
-                tokio::task::spawn_local(connection(counted, stream, front.clone()));
+                let (client, idle) = host.clients.enter();
+                tokio::task::spawn_local(connection(host.clone(), client, idle, stream, front.clone()));
             }
             // Out of descriptors, or the client was gone already: neither ends the service.
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
@@ -134,22 +138,25 @@
     tokio::time::sleep(host.limits.last_look).await;
 }
 
-struct Counted(Rc<Host>);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.clients.set(self.0.clients.get() - 1);
-        self.0.client_closed.notify_waiters();
-    }
-}
-
-async fn connection(counted: Counted, stream: TcpStream, front: Rc<Front>) {
-    let host = &counted.0;
-    let crowded = host.clients.get() > host.limits.clients;
+async fn connection(host: Rc<Host>, client: Client, idle: Idling, stream: TcpStream, front: Rc<Front>) {
+    let (host, crowded, mut idle) = (&host, client.crowded, Some(idle));
     let mut wire = Wire::new(stream);
-    while wait_for_request(host, &mut wire).await {
-        let since = host.clock.now();
-        let read = timeout(host.limits.read, read_request(host, &mut wire, since));
+    let (mut asked, mut hasty, mut refused_at) = (false, 0, None);
+    // A first request is owed an answer, or the connection a close, soon after it was opened.
+    let mut whole_by = Instant::now() + host.limits.read;
+    while wait_for_request(host, idle.take().unwrap_or_else(|| client.idle()), &mut wire, asked).await {
+        let (since, begun) = (host.clock.now(), Instant::now());
+        if std::mem::replace(&mut asked, true) {
+            whole_by = begun + host.limits.read;
+        }
+        // Who asks again the moment it is refused, again and again, is not read for a while: the others
+        // would have less of the processor.
+        let at_once = refused_at.take().is_some_and(|at: Instant| begun - at <= host.limits.at_once);
+        hasty = if at_once { hasty + 1 } else { 0 };
+        if hasty > host.limits.patience {
+            tokio::time::sleep(host.limits.pause).await;
+        }
+        let read = timeout_at(whole_by.into(), read_request(host, &mut wire, since));
         let request = match read.await.unwrap_or(Ok(Err(Turned::Slow))) {
             Ok(request) => request,
             Err(_) => return,
@@ -163,23 +170,26 @@
         };
         match then {
             Ok(Then::Next) if keeps && !crowded => {}
-            Ok(Then::Next) => return linger(wire).await,
+            Ok(Then::Refused) if keeps && !crowded => refused_at = Some(Instant::now()),
+            Ok(Then::Next | Then::Refused) => return linger(wire).await,
             _ => return,
         }
     }
 }
 
 /// Waits until a request begins; false if the connection is to be closed instead.
-async fn wait_for_request(host: &Host, wire: &mut Wire) -> bool {
+async fn wait_for_request(host: &Host, mut idle: Idling, wire: &mut Wire, asked: bool) -> bool {
     if !wire.buf.is_empty() {
         return true;
     }
+    wire.rest();
+    let limit = if asked { host.limits.idle_client } else { host.limits.first };
     tokio::select! {
         biased;
         more = wire.more() => matches!(more, Ok(true)),
         () = closing(host) => false,
-        () = host.client_unwanted.notified() => false,
-        () = tokio::time::sleep(host.limits.idle_client) => false,
+        () = idle.unwanted() => false,
+        () = tokio::time::sleep(limit) => false,
     }
 }
 
@@ -210,19 +220,23 @@
         Framing::Chunked => limits.body,
         Framing::Unstated => 0,
     };
-    // Reserved before it is read: many slow bodies at once would else be more than the memory holds.
-    let Some(mut reserved) = host.reserve(expected) else { return Ok(Err(Turned::Full)) };
+    // What has come is counted as it comes: many slow bodies at once would else be more than the memory
+    // holds, and what was only announced would leave no room for those that send.
+    let Some(mut reserved) = host.reserve(0) else { return Ok(Err(Turned::Full)) };
     if head.expects() && wire.buf.is_empty() {
         wire.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
     }
     let bytes = if framing == Framing::Chunked {
-        let (mut body, mut all) = (Body::new(framing), Vec::new());
+        let (mut body, mut all) = (Body::new(framing, limits.body as u64), Vec::new());
         loop {
             match body.next(&mut wire.buf) {
                 Ok(Some(Part::Bytes(data))) if all.len() + data.len() > limits.body => {
                     return Ok(Err(Bad::LargeBody.into()))
                 }
-                Ok(Some(Part::Bytes(data))) => all.extend_from_slice(&data),
+                Ok(Some(Part::Bytes(data))) if reserved.grow(all.len() + data.len()) => {
+                    all.extend_from_slice(&data);
+                }
+                Ok(Some(Part::Bytes(_))) => return Ok(Err(Turned::Full)),
                 Ok(Some(Part::End)) => break Bytes::from(all),
                 Ok(None) if wire.more().await? => {}
                 Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -230,14 +244,16 @@
             }
         }
     } else {
-        while wire.buf.len() < expected {
+        while reserved.grow(wire.buf.len().min(expected)) && wire.buf.len() < expected {
             if !wire.more().await? {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
+        if wire.buf.len() < expected || !reserved.grow(expected) {
+            return Ok(Err(Turned::Full));
+        }
         wire.buf.split_to(expected).freeze()
     };
-    reserved.shrink(bytes.len());
     Ok(Ok(Incoming { method, target, head, body: HeldBody { bytes, reserved }, since }))
 }
 
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -96,7 +96,9 @@
             (Bytes::from_static(host.nodes.dialect.path()), HeldBody { bytes: bytes.into(), reserved });
     }
     let prompt = Prompt { id, method, target, body, text: !same };
-    let mut ticket = host.submit(ask, prompt);
+    let Some(mut ticket) = host.submit(ask, prompt) else {
+        return turn(host, wire, Turned::Twice).await;
+    };
     let mut writer = ChatWriter::default();
     let mut head = Bytes::from_static(BEGUN);
     loop {
@@ -121,7 +123,7 @@
                 let fields = format!("Retry-After: {:.3}\r\n", retry_after(host, advice));
                 let status = if why == Refusal::Share { 429 } else { 503 };
                 write_whole(host, wire, status, &fields, Bytes::from_static(b"refused\n")).await?;
-                return Ok(Then::Next);
+                return Ok(Then::Refused);
             }
             Next::Piece(Piece::Answer(FinalAnswer::Failed { late })) => {
                 let status = if late { 504 } else { 500 };
@@ -142,5 +144,5 @@
     };
     let body = Bytes::from_static(crate::http::reason(status).as_bytes());
     write_whole(host, wire, status, &fields, body).await?;
-    Ok(Then::Next)
+    Ok(Then::Refused)
 }
--- a/router/src/health.rs
+++ b/router/src/health.rs
@@ -37,7 +37,7 @@
         if host.nodes.ready() == 0 {
             return State::Down;
         }
-        let (most, used) = (host.limits.clients, host.clients.get());
+        let (most, used) = (host.limits.clients, host.clients.open());
         let free = 100 * most.saturating_sub(used) / most.max(1);
         State::Up(free.clamp(1, 100) as u8)
     }
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -13,10 +13,12 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::AbortHandle;
 
+use crate::clients::Clients;
 use crate::config::Config;
 use crate::core::{Ask, Core, FinalAnswer, Order};
 use crate::dialect::{Dialect, Event};
 use crate::limits::Limits;
+use crate::names::{Name, Names};
 use crate::node::{self, Nodes};
 use crate::node_list;
 use crate::peers::{self, Peers};
@@ -93,11 +95,13 @@
 }
 
 impl Reserved {
-    /// Gives back what turned out not to be needed.
-    pub fn shrink(&mut self, to: usize) {
-        let less = self.size.saturating_sub(to);
-        self.size -= less;
-        self.budget.set(self.budget.get() + less);
+    /// Takes more, up to so much in all, if there is so much left.
+    pub fn grow(&mut self, to: usize) -> bool {
+        let more = to.saturating_sub(self.size);
+        let Some(left) = self.budget.get().checked_sub(more) else { return false };
+        self.budget.set(left);
+        self.size += more;
+        true
     }
 }
 
@@ -139,14 +143,12 @@
     pub list_at: watch::Sender<SocketAddr>,
     /// Asks for a watch of the node list.
     pub list_wanted: Notify,
-    /// Asks the longest idle client connection to close.
-    pub client_unwanted: Notify,
-    /// Told whenever a client connection has closed.
-    pub client_closed: Notify,
+    /// The client connections.
+    pub clients: Rc<Clients>,
+    /// The clients' names for requests that are open or were of late.
+    pub names: Names,
     /// Events that no dialect names, skipped.
     pub unknown_events: Cell<u64>,
-    /// Client connections.
-    pub clients: Cell<usize>,
     core: RefCell<Core>,
     waiting: RefCell<FxHashMap<RequestId, Waiting>>,
     attempts: RefCell<FxHashMap<(RequestId, u32), AbortHandle>>,
@@ -171,10 +173,9 @@
             drain: Drain::new(),
             list_at: watch::Sender::new(node_list),
             list_wanted: Notify::new(),
-            client_unwanted: Notify::new(),
-            client_closed: Notify::new(),
+            clients: Clients::new(limits.clients, limits.silent_client),
+            names: Names::new(limits.late_names),
             unknown_events: Cell::new(0),
-            clients: Cell::new(0),
             waiting: RefCell::default(),
             attempts: RefCell::default(),
             bodies: Rc::new(Cell::new(limits.bodies)),
@@ -209,6 +210,11 @@
         Some(Reserved { size, budget: self.bodies.clone() })
     }
 
+    /// What is left of the budget for bodies.
+    pub fn room(&self) -> usize {
+        self.bodies.get()
+    }
+
     /// A name for a request whose client gives none. The seed is another at every start and router.
     pub fn name_request(&self) -> String {
         self.named.1.set(self.named.1.get() + 1);
@@ -220,13 +226,15 @@
         self.core.borrow().open() >= self.limits.open
     }
 
-    /// Submits a request. The ticket stands for the waiting client: dropped early, it has left.
-    pub fn submit(self: &Rc<Self>, ask: Ask, prompt: Prompt) -> Ticket {
+    /// Submits a request, unless its name is another's. The ticket stands for the waiting client: dropped
+    /// early, it has left.
+    pub fn submit(self: &Rc<Self>, ask: Ask, prompt: Prompt) -> Option<Ticket> {
+        let name = self.names.take(&prompt.id)?;
         let (pieces, receiver) = mpsc::channel(self.limits.pieces);
         let (id, orders) = self.ask(|core, now| core.take(now, ask));
         self.waiting.borrow_mut().insert(id, Waiting { pieces, prompt: Rc::new(prompt) });
         self.carry_out(orders);
-        Ticket { host: self.clone(), id, pieces: receiver }
+        Some(Ticket { host: self.clone(), id, _name: name, pieces: receiver })
     }
 
     fn carry_out(self: &Rc<Self>, orders: Vec<Order>) {
@@ -319,6 +327,7 @@
 pub struct Ticket {
     host: Rc<Host>,
     id: RequestId,
+    _name: Name,
     pieces: mpsc::Receiver<Piece>,
 }
 
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::limits::Limits;
@@ -171,7 +171,7 @@
     Size,
     Data(u64),
     AfterData,
-    Trailer,
+    Trailer(usize),
     End,
 }
 
@@ -180,21 +180,33 @@
 pub struct Body {
     framing: Framing,
     at: At,
+    /// The largest chunk.
+    most: u64,
+    /// Chunks are told whole.
+    whole: bool,
 }
 
-/// The longest line of a chunk's size or of a trailer, and the most trailers.
+/// The longest line of a chunk's size or of a trailer.
 const CHUNK_LINE: usize = 1024;
+/// The most trailers.
+const TRAILERS: usize = 32;
 
 impl Body {
-    /// The body of a message framed so.
-    pub fn new(framing: Framing) -> Body {
+    /// The body of a message framed so, its chunks of so many bytes at most.
+    pub fn new(framing: Framing, most: u64) -> Body {
         let at = match framing {
             Framing::Chunked => At::Size,
             Framing::Length(0) => At::End,
             Framing::Length(n) => At::Data(n),
             Framing::Unstated => At::Data(u64::MAX),
         };
-        Body { framing, at }
+        Body { framing, at, most, whole: false }
+    }
+
+    /// The body of a model node's answer. A chunk is told when it is whole and ends where its size says:
+    /// of one that does not fit, no byte is passed on as if it were part of the answer.
+    pub fn of_answer(framing: Framing, most: usize) -> Body {
+        Body { whole: framing == Framing::Chunked, ..Body::new(framing, most as u64) }
     }
 
     /// The next part that is whole in `buf`; `None` if more has to be read first.
@@ -203,6 +215,15 @@
             match self.at {
                 At::End => return Ok(Some(Part::End)),
                 At::Data(_) if buf.is_empty() => return Ok(None),
+                At::Data(left) if self.whole => match buf.get(left as usize..) {
+                    Some([b'\r', b'\n', ..]) => {
+                        let data = buf.split_to(left as usize).freeze();
+                        self.at = At::AfterData;
+                        return Ok(Some(Part::Bytes(data)));
+                    }
+                    None | Some([] | [b'\r']) => return Ok(None),
+                    Some(_) => return Err(Bad::Malformed),
+                },
                 At::Data(left) => {
                     let n = left.min(buf.len() as u64);
                     self.at = match (self.framing, left - n) {
@@ -228,15 +249,19 @@
                     let text = std::str::from_utf8(digits).ok().filter(|_| hex);
                     let size = text.and_then(|t| u64::from_str_radix(t, 16).ok());
                     self.at = match size.ok_or(Bad::Malformed)? {
-                        0 => At::Trailer,
+                        0 => At::Trailer(0),
+                        // Guards against one that is said to go on for ever.
+                        n if n > self.most => return Err(Bad::LargeBody),
                         n => At::Data(n),
                     };
                 }
-                At::Trailer => {
+                At::Trailer(lines) => {
                     let Some(line) = line(buf)? else { return Ok(None) };
-                    if line.is_empty() {
-                        self.at = At::End;
-                    }
+                    self.at = match lines {
+                        _ if line.is_empty() => At::End,
+                        TRAILERS.. => return Err(Bad::Malformed),
+                        lines => At::Trailer(lines + 1),
+                    };
                 }
             }
         }
@@ -277,8 +302,22 @@
 
     /// Reads more; false at the end of what the other side sends.
     pub async fn more(&mut self) -> io::Result<bool> {
-        self.buf.reserve(READ);
-        Ok(self.stream.read_buf(&mut self.buf).await? > 0)
+        loop {
+            // Room is made when there is something to put there: most connections are idle most of the time.
+            self.stream.readable().await?;
+            self.buf.reserve(READ);
+            match self.stream.try_read_buf(&mut self.buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                read => return Ok(read? > 0),
+            }
+        }
+    }
+
+    /// Lets the room go that the last message took, before a time of waiting.
+    pub fn rest(&mut self) {
+        if self.buf.is_empty() {
+            self.buf = BytesMut::new();
+        }
     }
 
     /// Writes a head and what follows it in gathered writes.
@@ -314,6 +353,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,6 +1,7 @@
 //! The router around the decision module: real sockets on the outside, [`core`] in the middle, two
 //! fronts before it. `docs/ARCHITECTURE.md` follows a request through these modules.
 
+pub mod clients;
 pub mod config;
 pub mod core;
 pub mod dialect;
@@ -9,8 +10,10 @@
 pub mod host;
 pub mod http;
 pub mod limits;
+pub mod names;
 pub mod node;
 pub mod node_list;
 pub mod peers;
 pub mod reload;
 pub mod shutdown;
+pub mod status;
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -13,8 +13,12 @@
     pub fields: usize,
     /// The largest body of a request, bytes.
     pub body: usize,
-    /// The largest event of a stream, bytes.
+    /// The largest event of a stream, and the largest chunk, bytes.
     pub event: usize,
+    /// The most answers that a model node sends before the answer proper.
+    pub informational: usize,
+    /// The head of a model node's answer must be whole so long after its first byte.
+    pub answer_head: Duration,
     /// The longest text of an answer that a client wants whole, bytes.
     pub whole_answer: usize,
     /// The most tokens of an answer whose client names no bound, where the node wants one.
@@ -37,10 +41,22 @@
     pub connect: Duration,
     /// An idle connection to a model node is given up after this, well before the node does so.
     pub idle_node: Duration,
-    /// A client connection may stand idle so long.
+    /// A client connection may stand idle so long between two requests.
     pub idle_client: Duration,
-    /// A message must be whole so long after its first byte.
+    /// And so long before the first one.
+    pub first: Duration,
+    /// One that has asked nothing for so long is the first to close when room is needed.
+    pub silent_client: Duration,
+    /// A request must be whole so long after its first byte.
     pub read: Duration,
+    /// Names of requests that are remembered when these are over.
+    pub late_names: usize,
+    /// So many refusals in a row, each asked against again at once, are answered without a pause.
+    pub patience: u32,
+    /// Asked again within this after a refusal is at once.
+    pub at_once: Duration,
+    /// The pause after that, before the next request on the connection is read.
+    pub pause: Duration,
     /// A client that takes nothing for so long has left.
     pub write: Duration,
     /// A begun stream without an event for so long is broken.
@@ -55,12 +71,18 @@
     pub list_answer: Duration,
     /// And after a failure there it is asked again so soon.
     pub list_again: Duration,
-    /// Clients still come for so long after the order to stop.
+    /// Clients still come for so long after the order to stop, or are served on the connections they have.
     pub grace: Duration,
+    /// What was taken later than this after the order has to have its end before the kill,
+    pub owed_after: Duration,
+    /// which is not far off this long after the order.
+    pub last_word: Duration,
     /// Then connections that carry nothing are read for so long once more: a request may have crossed.
     pub last_look: Duration,
     /// After that, what was taken may go on for so long.
     pub finish: Duration,
+    /// The state is told to the log so often.
+    pub status: Duration,
     /// The least advice to a refused client on when to come back.
     pub come_back: Duration,
 }
@@ -73,11 +95,19 @@
         let usable = sockets.saturating_sub(sockets / 16 + 16).max(8);
         let refused = (usable / 16).max(1);
         let node_connections = usable * 2 / 5;
+        // The kill comes no sooner than this after the order to stop.
+        let longest = of.classes.iter().map(|c| nanos(c.deadline)).max().unwrap_or_default();
+        let kill = longest.min(Duration::from_secs(3)) + Duration::from_millis(700);
+        // The clients of an only router have nowhere else to go: they are served on the connections they
+        // have for as long as streams may still end, if they ask for the rest of those that do not.
+        let alone = of.decisions.gateways == 1 && of.resume;
         Limits {
             head: 16 << 10,
             fields: 64,
             body: 256 << 10,
             event: 256 << 10,
+            informational: 8,
+            answer_head: Duration::from_millis(500),
             whole_answer: 1 << 20,
             answer_tokens: 4096,
             list_line: 4 << 20,
@@ -89,8 +119,14 @@
             pieces: 8,
             connect: nanos(of.connect_timeout),
             idle_node: nanos(of.idle_close) * 7 / 10,
-            idle_client: Duration::from_secs(75),
-            read: Duration::from_secs(10),
+            idle_client: Duration::from_secs(20),
+            first: Duration::from_millis(2000),
+            silent_client: Duration::from_millis(300),
+            read: Duration::from_millis(2500),
+            late_names: 1024,
+            patience: 8,
+            at_once: Duration::from_millis(20),
+            pause: Duration::from_millis(50),
             write: Duration::from_secs(30),
             silence: Duration::from_secs(4),
             probe: Duration::from_millis(500),
@@ -98,9 +134,12 @@
             list_silence: Duration::from_secs(4),
             list_answer: Duration::from_millis(2500),
             list_again: Duration::from_millis(150),
-            grace: Duration::from_millis(500),
+            grace: if alone { kill / 2 } else { Duration::from_millis(500) },
+            owed_after: Duration::from_millis(600),
+            last_word: kill - Duration::from_millis(400),
             last_look: Duration::from_millis(20),
             finish: Duration::from_secs(60),
+            status: Duration::from_secs(5),
             come_back: Duration::from_millis(100),
         }
     }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -10,7 +10,7 @@
 use tallypin_router::node_list::{self, Page};
 use tallypin_router::peers::Peers;
 use tallypin_router::reload::{self, Running};
-use tallypin_router::{health, shutdown};
+use tallypin_router::{health, shutdown, status};
 use tokio::net::TcpListener;
 
 const USAGE: &str = "\
@@ -131,6 +131,7 @@
     }
     let listener = TcpListener::bind(listen).await?;
     tokio::task::spawn_local(front::serve(host.clone(), listener, Front::Platform));
+    tokio::task::spawn_local(status::tell(host.clone()));
     let read = || Config::reread(|name| std::env::var(name).ok());
     tokio::task::spawn_local(reload::keep(host.clone(), hangup, running, read));
     eprintln!("tallypin: {name} listens on {listen}");
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -23,6 +23,9 @@
 #[derive(Debug)]
 struct Link {
     wire: Wire,
+    /// Whom it was opened to. The address alone does not say that: a new node may stand where one has gone,
+    /// and what was opened to that one is dead.
+    to: Place,
     open: Rc<Cell<usize>>,
 }
 
@@ -37,22 +40,32 @@
     since: Instant,
 }
 
+/// Which node, where, and in which of its lives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Place {
+    id: ReplicaId,
     addr: SocketAddr,
+    started_ms: u64,
+}
+
+struct Listed {
+    place: Place,
     ready: bool,
 }
 
 /// The model nodes of the list, and idle connections to them.
 pub struct Nodes {
+    /// Attempts whose request has been written and whose connection is still open, by node.
+    out: RefCell<FxHashMap<ReplicaId, u32>>,
     /// The dialect they speak.
     pub dialect: Dialect,
     most: usize,
     idle_limit: Duration,
     connect_limit: Duration,
     /// By the list's `id`: the address may differ from router to router and change.
-    addresses: RefCell<FxHashMap<ReplicaId, Place>>,
-    /// The most recently used last.
-    idle: RefCell<FxHashMap<SocketAddr, Vec<Idle>>>,
+    listed: RefCell<FxHashMap<ReplicaId, Listed>>,
+    /// The most recently used last; only for nodes that are listed.
+    idle: RefCell<FxHashMap<ReplicaId, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
 }
 
@@ -64,27 +77,54 @@
             most: limits.node_connections,
             idle_limit: limits.idle_node,
             connect_limit: limits.connect,
-            addresses: RefCell::default(),
+            out: RefCell::default(),
+            listed: RefCell::default(),
             idle: RefCell::default(),
             open: Rc::default(),
         }
     }
 
-    /// A node is at this address, and takes work or not.
-    pub fn set(&self, id: ReplicaId, addr: SocketAddr, ready: bool) {
-        self.addresses.borrow_mut().insert(id, Place { addr, ready });
+    /// A node is at this address since then, and takes work or not. If it was elsewhere, or has started
+    /// again, what is idle to it is closed.
+    pub fn set(&self, id: ReplicaId, addr: SocketAddr, started_ms: u64, ready: bool) {
+        let place = Place { id, addr, started_ms };
+        let before = self.listed.borrow_mut().insert(id, Listed { place, ready });
+        if before.is_some_and(|b| b.place != place) {
+            self.distrust(id);
+        }
     }
 
     /// Forgets the nodes that are not to be kept, and closes what is idle to them.
     pub fn retain(&self, keep: impl Fn(ReplicaId) -> bool) {
-        let mut addresses = self.addresses.borrow_mut();
-        addresses.retain(|id, _| keep(*id));
-        self.idle.borrow_mut().retain(|at, _| addresses.values().any(|p| p.addr == *at));
+        let mut listed = self.listed.borrow_mut();
+        listed.retain(|id, _| keep(*id));
+        self.idle.borrow_mut().retain(|id, _| listed.contains_key(id));
+    }
+
+    /// Closes what is idle to a node: the next attempt there has to open a connection. A machine that is
+    /// cut off says nothing on the connections it had, and shows only by new ones that do not come up.
+    pub fn distrust(&self, id: ReplicaId) {
+        self.idle.borrow_mut().remove(&id);
     }
 
     /// How many nodes take work.
     pub fn ready(&self) -> usize {
-        self.addresses.borrow().values().filter(|p| p.ready).count()
+        self.listed.borrow().values().filter(|n| n.ready).count()
+    }
+
+    /// Where a node is.
+    pub fn at(&self, id: ReplicaId) -> Option<SocketAddr> {
+        self.listed.borrow().get(&id).map(|n| n.place.addr)
+    }
+
+    /// How many attempts are out on a node's connections.
+    pub fn out(&self, id: ReplicaId) -> u32 {
+        self.out.borrow().get(&id).copied().unwrap_or(0)
+    }
+
+    /// How many connections are open, and how many of them are idle.
+    pub fn links(&self) -> (usize, usize) {
+        (self.open.get(), self.idle.borrow().values().map(Vec::len).sum())
     }
 
     /// Closes connections that have been idle for long or that the node has closed.
@@ -97,9 +137,9 @@
     }
 
     /// The most recently used idle connection: the others then grow old and are retired.
-    fn take_idle(&self, addr: SocketAddr) -> Option<Link> {
+    fn take_idle(&self, id: ReplicaId) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&addr)?;
+        let links = idle.get_mut(&id)?;
         while let Some(mut i) = links.pop() {
             // A node that closed it, or is about to, would turn the next request into a reset.
             if i.since.elapsed() < self.idle_limit && !i.link.wire.spoilt() {
@@ -109,9 +149,13 @@
         None
     }
 
-    fn give_back(&self, addr: SocketAddr, link: Link) {
-        let idle = Idle { link, since: Instant::now() };
-        self.idle.borrow_mut().entry(addr).or_default().push(idle);
+    /// Keeps a connection for later, unless its node has gone, moved or started again while it was out.
+    fn give_back(&self, mut link: Link) {
+        if self.listed.borrow().get(&link.to.id).is_some_and(|n| n.place == link.to) {
+            link.wire.rest();
+            let idle = Idle { since: Instant::now(), link };
+            self.idle.borrow_mut().entry(idle.link.to.id).or_default().push(idle);
+        }
     }
 
     /// Makes room for one more connection, if need be by closing the one idle for longest.
@@ -126,18 +170,18 @@
 
     /// A connection to a node. What fails for want of anything here is *skipped*, not *refused*: it says
     /// nothing of the node, which the module would else shun.
-    async fn reach(&self, id: ReplicaId) -> Result<(SocketAddr, Link), Outcome> {
-        let addr = self.addresses.borrow().get(&id).map(|p| p.addr).ok_or(Outcome::Skipped)?;
-        if let Some(link) = self.take_idle(addr) {
-            return Ok((addr, link));
+    async fn reach(&self, id: ReplicaId) -> Result<Link, Outcome> {
+        let to = self.listed.borrow().get(&id).map(|n| n.place).ok_or(Outcome::Skipped)?;
+        if let Some(link) = self.take_idle(id) {
+            return Ok(link);
         }
         if !self.make_room() {
             return Err(Outcome::Skipped);
         }
         self.open.set(self.open.get() + 1);
         let count = Count(Some(self.open.clone()));
-        match timeout(self.connect_limit, TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => Ok((addr, count.into_link(Wire::new(stream)))),
+        match timeout(self.connect_limit, TcpStream::connect(to.addr)).await {
+            Ok(Ok(stream)) => Ok(count.into_link(Wire::new(stream), to)),
             Ok(Err(e)) if e.kind() == io::ErrorKind::AddrNotAvailable || no_descriptor(&e) => {
                 Err(Outcome::Skipped)
             }
@@ -157,8 +201,8 @@
 struct Count(Option<Rc<Cell<usize>>>);
 
 impl Count {
-    fn into_link(mut self, wire: Wire) -> Link {
-        Link { wire, open: self.0.take().unwrap_or_default() }
+    fn into_link(mut self, wire: Wire, to: Place) -> Link {
+        Link { wire, to, open: self.0.take().unwrap_or_default() }
     }
 }
 
@@ -211,7 +255,7 @@
     }
 
     async fn stream(&mut self) -> AttemptEnd {
-        let (addr, mut link) = match self.host.nodes.reach(self.node).await {
+        let mut link = match self.host.nodes.reach(self.node).await {
             Ok(reached) => reached,
             Err(outcome) => return outcome.into(),
         };
@@ -220,10 +264,15 @@
         if link.wire.write(head.chain(body)).await.is_err() {
             return Outcome::Refused.into();
         }
-        let head = match read_head(&mut link.wire, &self.host.limits).await {
-            Some(head) => head,
-            None => return Outcome::Reset.into(),
+        let _out = Out::on(&self.host, self.node);
+        let silent = Silent { nodes: &self.host.nodes, node: self.node };
+        let more = link.wire.more().await;
+        std::mem::forget(silent);
+        let head = match more {
+            Ok(true) => read_head(&mut link.wire, &self.host.limits).await,
+            _ => None,
         };
+        let Some(head) = head else { return Outcome::Reset.into() };
         let names = &self.host.deployment.report;
         let load = head.text("srv-load").ok().flatten().map(|l| dialect::read_load(l, names));
         let load = load.unwrap_or_default();
@@ -239,8 +288,8 @@
                     503 | 504 if declined => Outcome::Busy,
                     _ => Outcome::Error,
                 };
-                if head.keeps() && drained(&mut link.wire, framing) {
-                    self.host.nodes.give_back(addr, link);
+                if head.keeps() && drained(&mut link.wire, framing, self.host.limits.event) {
+                    self.host.nodes.give_back(link);
                 }
                 return AttemptEnd { outcome, kept: None, load };
             }
@@ -248,7 +297,7 @@
         }
         let (end, reusable) = self.pass_on(&mut link.wire, framing, load).await;
         if reusable && head.keeps() && link.wire.buf.is_empty() {
-            self.host.nodes.give_back(addr, link);
+            self.host.nodes.give_back(link);
         }
         end
     }
@@ -273,7 +322,7 @@
     /// the answer.
     async fn pass_on(&mut self, wire: &mut Wire, framing: Framing, load: Vec<f64>) -> (AttemptEnd, bool) {
         let host = self.host.clone();
-        let (mut body, mut events) = (Body::new(framing), Events::default());
+        let (mut body, mut events) = (Body::of_answer(framing, host.limits.event), Events::default());
         let (mut held, mut held_told) = (BytesMut::new(), Vec::new());
         let mut end = AttemptEnd { outcome: Outcome::Reset, kept: None, load };
         // A messages stream says itself that it is complete; the others are so at the last chunk.
@@ -366,28 +415,71 @@
 /// The deadline of an attempt whose stream has begun: none.
 const BOUND: Nanos = Nanos::MAX;
 
+/// An attempt out on a connection.
+struct Out(Rc<Host>, ReplicaId);
+
+impl Out {
+    fn on(host: &Rc<Host>, id: ReplicaId) -> Out {
+        *host.nodes.out.borrow_mut().entry(id).or_default() += 1;
+        Out(host.clone(), id)
+    }
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        let mut out = self.0.nodes.out.borrow_mut();
+        if let Some(n) = out.get_mut(&self.1) {
+            *n -= 1;
+            if *n == 0 {
+                out.remove(&self.1);
+            }
+        }
+    }
+}
+
+/// Dropped while a node owes the first byte of an answer, it tells that the node was silent.
+struct Silent<'a> {
+    nodes: &'a Nodes,
+    node: ReplicaId,
+}
+
+impl Drop for Silent<'_> {
+    fn drop(&mut self) {
+        self.nodes.distrust(self.node);
+    }
+}
+
+/// Reads the head of an answer of which something has come, or will. What begins has to end: one head that
+/// does not, or one after the other, would else hold the attempt until the client has left.
 async fn read_head(wire: &mut Wire, limits: &Limits) -> Option<Head> {
-    loop {
-        match Head::answer(&mut wire.buf, limits) {
-            // What comes before the answer proper says nothing here.
-            Ok(Some(head)) if matches!(head.start, Start::Status(100..=199)) => {}
-            Ok(Some(head)) => return Some(head),
-            Ok(None) => {
-                if !wire.more().await.ok()? {
-                    return None;
+    let whole = async {
+        let mut before = 0;
+        loop {
+            match Head::answer(&mut wire.buf, limits) {
+                // What comes before the answer proper says nothing here.
+                Ok(Some(head)) if matches!(head.start, Start::Status(100..=199)) => before += 1,
+                Ok(Some(head)) => return Some(head),
+                Ok(None) => {
+                    if !wire.more().await.ok()? {
+                        return None;
+                    }
                 }
+                Err(_) => return None,
+            }
+            if before > limits.informational {
+                return None;
             }
-            Err(_) => return None,
         }
-    }
+    };
+    timeout(limits.answer_head, whole).await.ok().flatten()
 }
 
 /// Takes a short body that has arrived with its head; false if it has not.
-fn drained(wire: &mut Wire, framing: Framing) -> bool {
+fn drained(wire: &mut Wire, framing: Framing, most: usize) -> bool {
     if framing == Framing::Unstated {
         return false;
     }
-    let mut body = Body::new(framing);
+    let mut body = Body::of_answer(framing, most);
     loop {
         match body.next(&mut wire.buf) {
             Ok(Some(Part::Bytes(_))) => {}
@@ -407,7 +499,7 @@
 async fn ask_health(host: &Host, node: ReplicaId) -> AttemptEnd {
     let names = &host.deployment.report;
     let target = if names.is_empty() { "/alive" } else { "/metrics/load" };
-    let (addr, mut link) = match host.nodes.reach(node).await {
+    let mut link = match host.nodes.reach(node).await {
         Ok(reached) => reached,
         Err(outcome) => return outcome.into(),
     };
@@ -417,7 +509,7 @@
     }
     let Some(head) = read_head(&mut link.wire, &host.limits).await else { return Outcome::Reset.into() };
     let Ok(framing) = head.framing() else { return Outcome::Reset.into() };
-    let (mut body, mut report) = (Body::new(framing), Vec::new());
+    let (mut body, mut report) = (Body::of_answer(framing, host.limits.head), Vec::new());
     loop {
         match body.next(&mut link.wire.buf) {
             Ok(Some(Part::Bytes(data))) if report.len() + data.len() <= host.limits.head => {
@@ -431,7 +523,7 @@
     let outcome = if head.start == Start::Status(200) { Outcome::Done } else { Outcome::Error };
     let load = dialect::read_load(&String::from_utf8_lossy(&report), names);
     if head.keeps() && link.wire.buf.is_empty() {
-        host.nodes.give_back(addr, link);
+        host.nodes.give_back(link);
     }
     AttemptEnd { outcome, kept: None, load }
 }
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -79,7 +79,8 @@
     let rows: Vec<ReplicaRow> = page.servers.iter().map(|r| r.decode(&host.deployment)).collect();
     for (row, decoded) in page.servers.iter().zip(&rows) {
         if decoded.state != ReplicaState::Gone {
-            host.nodes.set(decoded.replica, row.addr, decoded.state == ReplicaState::Ready);
+            let ready = decoded.state == ReplicaState::Ready;
+            host.nodes.set(decoded.replica, row.addr, row.started_ms, ready);
         }
     }
     let gone = |id| match kind {
@@ -199,7 +200,7 @@
         (Start::Status(200), Ok(framing)) if framing != Framing::Length(0) => framing,
         (start, _) => return format!("answered {start:?}"),
     };
-    let (mut body, mut held) = (Body::new(framing), BytesMut::new());
+    let (mut body, mut held) = (Body::new(framing, limits.list_line as u64), BytesMut::new());
     loop {
         match body.next(&mut wire.buf) {
             Ok(Some(Part::Bytes(data))) => {
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -5,7 +5,7 @@
 
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::host::Host;
 
@@ -68,15 +68,23 @@
 
 /// Goes through the stages to the end.
 pub async fn drain(host: &Rc<Host>) {
+    let told = host.clock.now();
     host.drain.enter(Stage::Grace);
     sleep(host.limits.grace).await;
     host.drain.enter(Stage::Closing);
     // Whatever was under way when the listeners closed has been seen by then.
     sleep(host.limits.last_look * 2).await;
     let finished = async {
-        while host.clients.get() > 0 {
-            host.client_closed.notified().await;
+        while host.clients.open() > 0 {
+            host.clients.one_closed().await;
         }
     };
-    let _ = timeout(host.limits.finish, finished).await;
+    let mut finished = std::pin::pin!(finished);
+    let until = host.clock.instant(told.saturating_add(host.limits.last_word.as_nanos() as u64));
+    if timeout_at(until.into(), &mut finished).await.is_err() {
+        // Whoever has come late in the grace is owed an end while there is one to give.
+        let owed = told.saturating_add(host.limits.owed_after.as_nanos() as u64);
+        host.with(|core, now| core.cut(now, owed));
+        let _ = timeout(host.limits.finish, finished).await;
+    }
 }
--- /dev/null
+++ b/router/src/status.rs
@@ -0,0 +1,45 @@
+//! The router's view of load and health beside its sockets, for the log: a difference between the two, a
+//! node excluded for good, or a number that only grows shows there.
+
+use std::fmt::Write;
+use std::rc::Rc;
+
+use crate::host::Host;
+
+/// The state in one line.
+pub fn line(host: &Rc<Host>) -> String {
+    let (open, noted, view) = host.with(|core, now| (core.open(), core.noted(), core.view(now)));
+    let (links, idle) = host.nodes.links();
+    let mut line = format!(
+        "open {open}, clients {}, links {links} ({idle} idle), names {}, noted {noted}, room for bodies {} KiB",
+        host.clients.open(),
+        host.names.len(),
+        host.room() >> 10,
+    );
+    for node in view {
+        let at = host.nodes.at(node.replica).map_or("unknown".into(), |at| at.to_string());
+        let ms = |nanos: u64| nanos / 1_000_000;
+        let _ = write!(line, "; {at}: {} out", node.open);
+        if host.nodes.out(node.replica) != node.open {
+            let _ = write!(line, " ({} written)", host.nodes.out(node.replica));
+        }
+        let _ = write!(line, ", {} waiting, {} ms", node.waiting, ms(node.wait));
+        if let Some(age) = node.sampled {
+            let _ = write!(line, " {} ms ago", ms(age));
+        }
+        if node.excluded > 0 {
+            let _ = write!(line, ", excluded for {} ms", ms(node.excluded));
+        }
+        line.push_str(if node.cold { ", cold" } else { "" });
+    }
+    line
+}
+
+/// Says it from time to time. Ends never.
+pub async fn tell(host: Rc<Host>) {
+    let mut every = tokio::time::interval(host.limits.status);
+    loop {
+        every.tick().await;
+        eprintln!("status: {}", line(&host));
+    }
+}
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tallypin::api::ListKind;
@@ -326,9 +327,10 @@
 }
 
 pub fn platform(fields: &str, body: &str) -> String {
-    let length = body.len();
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let (length, id) = (body.len(), LAST.fetch_add(1, Ordering::Relaxed));
     format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nReq-Id: 9b1f\r\nReq-Kind: chat\r\n\
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nReq-Id: 9b1f-{id}\r\nReq-Kind: chat\r\n\
          Req-Owner: haendlerbund\r\n{fields}Content-Length: {length}\r\n\r\n{body}"
     )
 }
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -88,3 +88,21 @@
     assert!(matches!(answers(&core.orders())[..], [FinalAnswer::Refused(1.., Refusal::Room)]));
     assert_eq!(core.tallies().outcomes, [0, 0, 4, 0, 0, 0, 0, 0]);
 }
+
+/// Guards against times noted for requests long over: with a wait of a day, each would stay for a day.
+#[test]
+fn the_times_noted_go_with_their_requests() {
+    let mut core = core(2);
+    for n in 0..3000 {
+        let now = START + n * MS;
+        let id = core.take(now, ask(86_400 * SECOND));
+        assert!(core.started(now, id, 0));
+        core.ended(now, id, 0, Outcome::Done.into());
+        core.orders();
+        core.tick(now);
+    }
+    assert_eq!(core.open(), 0);
+    // What the module asked for itself is short, and stays.
+    core.tick(START + 60 * SECOND);
+    assert!(core.noted() < 2000, "{} of 6000", core.noted());
+}
--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -64,7 +64,7 @@
     let whole = "4\r\nabcd\r\nA ; ext=1\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\nnext";
     for step in 1..whole.len() {
         let (mut body, mut buf, mut got, mut over) =
-            (Body::new(Framing::Chunked), BytesMut::new(), Vec::new(), false);
+            (Body::new(Framing::Chunked, 10), BytesMut::new(), Vec::new(), false);
         for piece in whole.as_bytes().chunks(step) {
             buf.extend_from_slice(piece);
             while let (false, Some(part)) = (over, body.next(&mut buf).unwrap()) {
@@ -78,7 +78,7 @@
     }
     let long = "1".repeat(1100);
     for bad in ["\r\n", "x\r\n", "-1\r\n", "+1\r\n", "1\nab", "fffffffffffffffff\r\n", "1\r\nab", &long] {
-        let (mut body, mut buf) = (Body::new(Framing::Chunked), BytesMut::from(bad));
+        let (mut body, mut buf) = (Body::new(Framing::Chunked, 1 << 20), BytesMut::from(bad));
         let end = loop {
             match body.next(&mut buf) {
                 Ok(Some(Part::Bytes(_))) => {}
@@ -150,6 +150,9 @@
     assert_eq!(show("TEXT eps=0.5, latency_ms=14.5,queue=3, novel=1"), "[0.5, 14.5, 3.0]");
     assert_eq!(show("TEXT q=2"), "[NaN, NaN, 2.0]");
     assert_eq!(show("JSON {}"), "[]");
+    // None of these is a load, and none may reach the decisions.
+    assert_eq!(show("TEXT eps=nan, latency_ms=inf, q=-1"), "[NaN, NaN, NaN]");
+    assert_eq!(show("TEXT eps=1e300, latency_ms=, q=\u{fffd}"), "[NaN, NaN, NaN]");
 }
 
 #[test]
@@ -209,13 +212,13 @@
             match read(&mut buf, &limits).map(|head| head.map(|h| (h.framing(), h.keeps()))) {
                 Ok(Some((Ok(framing), _))) => {
                     taken += 1;
-                    let mut body = Body::new(framing);
+                    let mut body = Body::new(framing, 1 << 20);
                     while let Ok(Some(Part::Bytes(_))) = body.next(&mut buf) {}
                 }
                 _ => turned += 1,
             }
         }
-        let (mut body, mut buf) = (Body::new(Framing::Chunked), BytesMut::from(&bytes[..]));
+        let (mut body, mut buf) = (Body::of_answer(Framing::Chunked, 1 << 20), BytesMut::from(&bytes[..]));
         while let Ok(Some(Part::Bytes(_))) = body.next(&mut buf) {}
         for dialect in [Dialect::Chat, Dialect::Messages] {
             dialect.read(&bytes, rng.bool(), &mut Vec::new());
--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -30,7 +30,8 @@
         assert_eq!((status, body, whole), (200, CHAT.concat(), true));
         let (head, body) = node.next_request().await;
         assert!(head.starts_with("POST /v1/chat/completions HTTP/1.1\r\n"), "{head}");
-        assert_eq!((field(&head, "req-id"), &body[..]), (Some("9b1f"), &b"{\"stream\": true}"[..]));
+        assert_eq!(body, b"{\"stream\": true}");
+        assert!(field(&head, "req-id").unwrap().starts_with("9b1f-"), "{head}");
         let left: u64 = field(&head, "req-deadline-ms").unwrap().parse().unwrap();
         assert!((2000..=3000).contains(&left), "{left}");
         // The same connections serve the next one.
@@ -296,7 +297,7 @@
             ("a large head", platform(&format!("X-A: {long}\r\n"), "{}"), 431),
             ("many fields", platform(&many, "{}"), 431),
             ("no host", good.replace("Host: b\r\n", ""), 400),
-            ("no id", good.replace("Req-Id: 9b1f\r\n", ""), 400),
+            ("no id", good.replace("Req-Id", "X-Id"), 400),
             ("an id of two words", good.replace("9b1f", "9b 1f"), 400),
             ("an unknown class", good.replace("chat\r\nReq", "poem\r\nReq"), 400),
             ("an unknown partner", good.replace("haendlerbund", "nobody"), 400),
@@ -329,7 +330,7 @@
         large.send(&platform("", &"x".repeat(101))).await;
         assert_eq!(large.answer().await.0, 503, "more body than the budget holds");
         drop(large);
-        until(|| router.host.clients.get() == 1).await;
+        until(|| router.host.clients.open() == 1).await;
         let mut busy = Client::to(router.addr).await;
         busy.send(&platform("", "{}")).await;
         until(|| router.open() == 1).await;
@@ -362,7 +363,7 @@
         late.send(&platform("", "{}")).await;
         assert_eq!((late.answer().await.0, late.answer().await.0), (200, 0), "to the end, then closed");
         end.await.unwrap();
-        assert_eq!((idle.answer().await.0, router.host.clients.get()), (0, 0));
+        assert_eq!((idle.answer().await.0, router.host.clients.open()), (0, 0));
         assert!(TcpStream::connect(router.addr).await.is_err(), "nobody listens any more");
     });
 }
@@ -384,6 +385,41 @@
     format!("{:x}\r\n{page}\r\n", page.len())
 }
 
+/// Guards against a kill that finds what came late in the grace unanswered: that would be lost.
+#[test]
+fn what_came_late_in_the_grace_has_its_end_before_the_kill() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Flood, Fault::Flood, Fault::Mute]);
+        let router = Router::new(Chat, &[&node], |l| {
+            (l.grace, l.owed_after, l.last_word) = (150 * MS, 40 * MS, 250 * MS);
+        })
+        .await;
+        let mut clients = Vec::new();
+        for _ in 0..3 {
+            clients.push(Client::to(router.addr).await);
+        }
+        let [early, begun, waiting] = &mut clients[..] else { unreachable!() };
+        early.send(&platform("", "{}")).await;
+        node.next_request().await;
+        let (host, told) = (router.host.clone(), Instant::now());
+        let end = spawn_local(async move { shutdown::drain(&host).await });
+        tokio::time::sleep(60 * MS).await;
+        for late in [&mut *begun, &mut *waiting] {
+            late.send(&platform("", "{}")).await;
+            node.next_request().await;
+        }
+        let mut read = Vec::new();
+        begun.stream.read_to_end(&mut read).await.unwrap();
+        assert!(read.starts_with(b"HTTP/1.1 200") && !read.ends_with(b"0\r\n\r\n"));
+        assert_eq!(waiting.answer().await.0, 503);
+        assert!((200 * MS..400 * MS).contains(&told.elapsed()), "{:?}", told.elapsed());
+        assert_eq!((router.tallies().broken, router.open()), (1, 1), "the early one goes on");
+        clients.clear();
+        end.await.unwrap();
+    });
+}
+
 #[test]
 fn a_lost_list_goes_on_being_used_and_is_asked_for_again() {
     run(async {
@@ -486,9 +522,9 @@
         client.send(get).await;
         assert_eq!(client.answer().await.0, 200);
         drop(client);
-        until(|| router.host.clients.get() == 0).await;
+        until(|| router.host.clients.open() == 0).await;
         let held = Client::to(router.addr).await;
-        until(|| router.host.clients.get() == 1).await;
+        until(|| router.host.clients.open() == 1).await;
         assert_eq!(line().await, "up ready 75%\n");
         router.list([]);
         assert_eq!(line().await, "down\n");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -119,10 +119,10 @@
 
 /// The decision module of one gateway.
 pub struct Balancer {
-    set: Settings,
+    pub(crate) set: Settings,
     rng: Rng,
     started: bool,
-    replicas: Vec<Replica>,
+    pub(crate) replicas: Vec<Replica>,
     index: FxHashMap<ReplicaId, usize>,
     /// Ready replicas, and those in the own zone.
     ready: Vec<usize>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod settings;
 mod state;
 mod stats;
+pub mod view;
 
 pub use api::{Action, Event, Settings, SettingsError};
 pub use choice::Balancer;
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,42 @@
+//! What the module holds of its replicas, to be set beside the traffic that a gateway sees. Nothing is
+//! decided by it.
+
+use crate::api::{Nanos, ReplicaId, ReplicaState};
+use crate::Balancer;
+
+/// What the module holds of a replica that takes work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seen {
+    /// Which replica.
+    pub replica: ReplicaId,
+    /// Own attempts out.
+    pub open: u32,
+    /// Those without a first token yet.
+    pub waiting: usize,
+    /// The smoothed wait for a first token, and how old its last sample is, if there is one.
+    pub wait: Nanos,
+    /// The age of that wait's last sample; `None` without one.
+    pub sampled: Option<Nanos>,
+    /// Excluded for so long yet; 0: not excluded.
+    pub excluded: Nanos,
+    /// Taken for cold.
+    pub cold: bool,
+}
+
+impl Balancer {
+    /// The replicas that take work, as the module sees them at `now`.
+    pub fn view(&self, now: Nanos) -> Vec<Seen> {
+        let ready = self.replicas.iter().filter(|r| r.row.state == ReplicaState::Ready);
+        ready
+            .map(|r| Seen {
+                replica: r.row.replica,
+                open: r.open,
+                waiting: r.waiting.len(),
+                wait: r.wait as Nanos,
+                sampled: (r.sampled_at > 0).then(|| now.saturating_sub(r.sampled_at)),
+                excluded: r.ejected_until.saturating_sub(now),
+                cold: r.cold_from.is_some_and(|from| now < from.saturating_add(self.set.cold)),
+            })
+            .collect()
+    }
+}
