Exclude model nodes that fail whatever they get, as they always look free

In the module's world one such replica of five drew 321 of 1000 requests; now at most 30, and one that fails one in four goes on serving (tests/health.rs). One error alone still excludes nobody: three without a first token between them do, for 3 s at first, and the trial brings a node back.

Tried and dropped: ending streams that go on for three mean streams, so that their clients ask elsewhere for the rest (the module's Move).

--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -15,6 +15,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use crate::clients::{Client, Idling};
+use crate::core::FinalAnswer;
 use crate::health;
 use crate::host::{HeldBody, Host, Piece, Ticket};
 use crate::http::{reason, Bad, Body, Framing, Head, Part, Start, Wire};
@@ -288,7 +289,10 @@
         let room = wire.buf.len() < host.limits.head;
         tokio::select! {
             biased;
-            piece = ticket.next() => return piece.map_or(Next::Left, Next::Piece),
+            // A stream that was ended here leaves no word.
+            piece = ticket.next() => {
+                return Next::Piece(piece.unwrap_or(Piece::Answer(FinalAnswer::Broken)))
+            }
             more = wire.more(), if room => match more {
                 Ok(true) => {}
                 _ => return Next::Left,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -901,9 +901,8 @@
         let jitter = 0.75 + 0.5 * self.rng.f64();
         let silence = self.set.classes[0].aim as f64 * (PATIENCE * self.fleet.strain).max(1.0);
         let r = &mut self.replicas[i];
-        if outcome == Outcome::Error {
-            return; // It answers: an error alone says nothing of its health.
-        }
+        // It answers: one error alone says nothing of its health. Several with nothing else between them do:
+        // whoever fails fast always seems free, and would draw all the traffic.
         r.fails += 1;
         // Slowness is not silence: unless it had been asked for long without a word to anyone here, a
         // time-out proves only that this prompt was not read yet.
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -55,6 +55,34 @@
     assert!(back > 50, "{back} once it answers");
 }
 
+/// Guards against a replica that fails whatever it gets, at once: never busy, it looked like the best.
+#[test]
+fn a_replica_that_fails_all_it_gets_is_ejected_and_one_that_fails_some_is_not() {
+    for (every, bounds) in [(1, 3..=30), (4, 60..=400)] {
+        let mut w = World::with_replicas(settings(1, 0), 5, 5);
+        let failing = ReplicaId(2);
+        let mut got = 0;
+        for n in 0..1000 {
+            w.run_to(w.now + 20 * MS);
+            let mut out = w.demand(plain(n));
+            while let Some(to) = World::sent_to(&out) {
+                let id = RequestId(n);
+                let a = w.requests[&id].sent.len() as u32 - 1;
+                got += u32::from(to == failing);
+                if to == failing && got % every == 0 {
+                    w.run_to(w.now + MS);
+                    out = w.end(id, a, Outcome::Error);
+                } else {
+                    w.run_to(w.now + 20 * MS);
+                    w.first(id, a);
+                    out = w.end(id, a, Outcome::Done);
+                }
+            }
+        }
+        assert!(bounds.contains(&got), "{got} of 1000 where one in {every} fails");
+    }
+}
+
 #[test]
 fn slowness_is_not_silence() {
     // A replica that answers others meanwhile is not called off, however long one prompt takes.
