Send a second copy of a silent node's work while most begin at once

Now, while first tokens take under 0.15 of the aim and no replica is cold, a second copy goes out after 0.4 aims and the reading of the prompt, from the same budget as further attempts; the slower copy is called off, and its wait counts as a sample.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -83,6 +83,11 @@
 const READ_PATIENCE: f64 = 1.5;
 /// And always for so many times what first tokens take on the average.
 const PATIENCE: f64 = 4.0;
+/// Without a first token after this share of the aim and the reading of the prompt, a second copy goes to
+/// another replica, if its own is silent and first tokens take less than `HEDGE_STRAIN` of the aim: where
+/// most begin at once, waiting out the patience only makes the answer late. In a jam it makes more work.
+const HEDGE_SHARE: f64 = 0.4;
+const HEDGE_STRAIN: f64 = 0.15;
 /// A replica heard again after so long may have started anew in between: it is taken for cold.
 const SILENCE: Nanos = 3 * SECOND;
 /// Further attempts earned by each request, and the most that can be saved.
@@ -670,10 +675,15 @@
             (TRY_SHARE * aim + unsure).max(3.0 * pick.wait).max(PATIENCE * self.fleet.strain * aim);
         let patience = patience.max(0.5 * (aim - spent)).min(left as f64 * 0.7);
         let limit = if more && !self.set.cancel { patience } else { left as f64 };
+        let patient_until = now + patience as Nanos;
         if more && self.set.cancel {
-            let at = now + patience as Nanos;
-            self.checks.push(Reverse((at, id, open.attempts.len() as u32)));
-            out.push(Action::WakeAt { at, token: CHECK });
+            let hedge = (HEDGE_SHARE * aim + unsure).max(3.0 * pick.wait);
+            let hedges = self.set.parallel_tries && self.fleet.strain < HEDGE_STRAIN && hedge < patience;
+            let hedge = hedges.then_some(now + hedge as Nanos);
+            for at in hedge.into_iter().chain([patient_until]) {
+                self.checks.push(Reverse((at, id, open.attempts.len() as u32)));
+                out.push(Action::WakeAt { at, token: CHECK });
+            }
         }
         let i = pick.replica;
         if let Some(from) = self.replicas[i].cold_from {
@@ -705,6 +715,7 @@
             unread: pick.unread,
             crowd,
             first: 0,
+            patient_until,
             outcome: None,
         });
         out.push(Action::Send { request: id, replica, limit: (limit as Nanos).max(1) });
@@ -719,6 +730,12 @@
             self.checks.pop();
             let Some(o) = self.open.get(&id) else { continue };
             let Some(a) = o.attempts.get(attempt as usize) else { continue };
+            if at < a.patient_until {
+                if self.replicas[a.replica].heard < a.sent {
+                    self.hedge(now, id, out);
+                }
+                continue;
+            }
             // A replica that has begun another answer since is alive: waiting on beats starting over.
             let silent = self.replicas[a.replica].heard < a.sent;
             if !o.answered && !o.started && a.outcome.is_none() && silent && self.retry_budget >= 1.0 {
@@ -727,6 +744,26 @@
         }
     }
 
+    /// One attempt is out and has not begun where most have: a second copy, if that is likely to be in time.
+    fn hedge(&mut self, now: Nanos, id: RequestId, out: &mut Vec<Action>) {
+        // Those that have just started are slow by nature, and more work makes them slower.
+        let cold = |from: Nanos| now < from.saturating_add(self.set.cold);
+        let young = self.ready.iter().any(|&i| self.replicas[i].cold_from.is_some_and(cold));
+        let calm = self.fleet.strain < HEDGE_STRAIN && self.retry_budget >= 1.0 && !young;
+        let Some(o) = self.open.get(&id).filter(|o| calm && !o.answered && !o.started) else { return };
+        let left = self.aim(&o.request) - now.saturating_sub(o.arrived) as f64;
+        if o.attempts.iter().filter(|a| a.outcome.is_none()).count() != 1 {
+            return;
+        }
+        let Some(o) = self.open.remove(&id) else { return };
+        let pick = self.pick(now, &o).filter(|p| p.wait < left);
+        self.open.insert(id, o);
+        if let Some(p) = pick {
+            self.retry_budget -= 1.0;
+            self.send(now, id, p, out);
+        }
+    }
+
     fn refuse(&mut self, id: RequestId, retry_after: Nanos, why: Refusal, out: &mut Vec<Action>) {
         self.unpay(id);
         self.close(id);
@@ -825,6 +862,10 @@
             }
             // Called off by a check: as good as timed out.
             Outcome::Cancelled if !e.over && !started => self.ill(now, i, Outcome::TimedOut, started, after),
+            // Its copy was faster: what it would have taken is at least this.
+            Outcome::Cancelled if !e.over && first == 0 && self.replicas[i].heard < sent => {
+                self.sample(now, i, after as f64, 1.0)
+            }
             Outcome::TimedOut | Outcome::Reset | Outcome::Refused | Outcome::Error => {
                 self.ill(now, i, outcome, started, after)
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,8 @@
     pub(crate) crowd: f64,
     /// First token after so long; 0 before it.
     pub(crate) first: Nanos,
+    /// Until then it is not called off for want of a first token; a second copy may go out before.
+    pub(crate) patient_until: Nanos,
     /// `None` while out.
     pub(crate) outcome: Option<Outcome>,
 }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -83,6 +83,36 @@
     }
 }
 
+/// Guards against a whole patience lost to each replica that falls silent; and against copies in a jam.
+#[test]
+fn a_silent_replica_s_work_is_copied_where_others_begin_at_once() {
+    for (after, copied) in [(20 * MS, true), (1500 * MS, false)] {
+        let set = Settings { parallel_tries: true, ..settings(1, 0) };
+        let mut w = World::with_replicas(set, 5, 4);
+        for n in 0..200 {
+            w.run_to(w.now + 20 * MS);
+            w.demand(plain(n));
+            w.run_to(w.now + after);
+            let begun = w.requests[&RequestId(n)].sent.len() as u32 - 1;
+            w.first(RequestId(n), begun);
+            w.end(RequestId(n), begun, Outcome::Done);
+        }
+        w.run_to(w.now + MS);
+        let id = RequestId(1000);
+        let silent = World::sent_to(&w.demand(plain(1000))).expect("there is room");
+        let out = w.run_to(w.now + 900 * MS);
+        let second = World::sent_to(&out);
+        assert_eq!(second.is_some(), copied, "where first tokens take {after} ns");
+        if copied {
+            assert_ne!(second, Some(silent));
+            assert!(!out.iter().any(|a| matches!(a, Action::Cancel { .. })), "the first may still be faster");
+            w.first(id, 1);
+            w.end(id, 1, Outcome::Done);
+            w.end(id, 0, Outcome::Cancelled);
+        }
+    }
+}
+
 #[test]
 fn slowness_is_not_silence() {
     // A replica that answers others meanwhile is not called off, however long one prompt takes.
