--- a/conf/src/lib.rs
+++ b/conf/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`problem`] tells what is wrong.
 
 pub mod checked;
+pub mod describe;
 pub mod lines;
 pub mod load;
 pub mod print;
@@ -23,6 +24,7 @@
 pub mod value;
 
 pub use checked::{changes, check, Change, Checked, Entry};
+pub use describe::describe;
 pub use load::{load, Bounds, Tree};
 pub use print::print;
 pub use problem::{nearest, Place, Problem, Problems};
--- a/health/src/askers.rs
+++ b/health/src/askers.rs
@@ -116,9 +116,12 @@
             let since = now.saturating_sub(a.last);
             // Two workers of one balancer that ask close together are one asker with the longer interval. A
             // long silence is no interval: it had stopped.
-            let forgot = a.interval.unwrap_or(self.figures.unknown).saturating_mul(self.figures.intervals);
+            let forgot = match a.interval {
+                Some(known) => known.saturating_mul(self.figures.intervals).max(self.figures.unknown),
+                None => self.figures.longest,
+            };
             a.interval = match a.interval {
-                _ if since > forgot.max(self.figures.unknown) => None,
+                _ if since > forgot => None,
                 None => Some(since),
                 Some(before) if since >= before => Some(since),
                 Some(before) => Some(before - (before - since) / 8),
--- a/router/src/checks/agent.rs
+++ b/router/src/checks/agent.rs
@@ -18,14 +18,14 @@
         .of_checks(|c| c.agent.map(|a| (a.send_wait, a.maxconn)))
         .flatten()
         .unwrap_or((Duration::ZERO, false));
-    let service = match wait {
-        Duration::ZERO => Asked::Open,
-        wait => {
-            let first = timeout(wait, first_line(&mut call)).await;
-            first.unwrap_or(Asked::Open)
-        }
+    let mut idle = call.rest();
+    let service = tokio::select! {
+        biased;
+        line = timeout(wait, first_line(&mut call)), if !wait.is_zero() => line.unwrap_or(Asked::Open),
+        // Its place is wanted: what it has not said by now it need not say.
+        () = idle.unwanted() => Asked::Open,
+        () = std::future::ready(()), if wait.is_zero() => Asked::Open,
     };
-    drop(call.idle.take());
     let says = match service {
         // A balancer that sends nothing asks about the router.
         Asked::Open => None,
@@ -47,8 +47,12 @@
         call.board.spoilt();
     }
     tracing::debug!(target: "checks", client = %call.ip, %says, "agent check");
-    // What the balancer may have sent is read before the close, which would else reset the line away.
-    let _ = timeout_at(by, linger(call.wire)).await;
+    // What the balancer may have sent is read before the close, which would else reset the line away. Whoever
+    // stays on after its answer holds no place that is wanted.
+    tokio::select! {
+        _ = timeout_at(by, linger(call.wire)) => {}
+        () = idle.unwanted() => {}
+    }
 }
 
 /// The line that the balancer may send first.
--- a/router/src/checks/http.rs
+++ b/router/src/checks/http.rs
@@ -16,8 +16,8 @@
 pub async fn answer(mut call: Call) {
     loop {
         let budget = call.budget();
+        let mut idle = call.rest();
         if call.wire.buf.is_empty() {
-            let mut idle = call.rest();
             call.wire.rest();
             let rest = call.board.of_checks(|c| c.idle).unwrap_or(budget);
             let more = tokio::select! {
@@ -29,7 +29,14 @@
                 return;
             }
         }
-        let Ok(read) = timeout(budget, read(&mut call)).await else {
+        // Half a check holds a place no better than none: a whole one is read at once.
+        let read = tokio::select! {
+            biased;
+            read = timeout(budget, read(&mut call)) => read,
+            () = idle.unwanted() => return call.board.spoilt(),
+        };
+        drop(idle);
+        let Ok(read) = read else {
             call.board.spoilt();
             let _ = timeout(budget, say(&mut call, refusal(408), false, false)).await;
             return;
--- a/router/src/checks/listen.rs
+++ b/router/src/checks/listen.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 
 use super::Board;
 use crate::clients::{Client, Idling};
@@ -43,13 +44,27 @@
     }
 }
 
+/// Binds an address and takes connections there; also says where that is.
+pub async fn start<F: Future<Output = ()> + 'static>(
+    host: &Rc<Host>,
+    board: &Rc<Board>,
+    at: SocketAddr,
+    place: impl Fn(&CheckSettings) -> Option<SocketAddr> + 'static,
+    answer: impl Fn(Call) -> F + Copy + 'static,
+) -> io::Result<(SocketAddr, AbortHandle)> {
+    let listener = bind(at).await?;
+    let bound = listener.local_addr()?;
+    let task = tokio::task::spawn_local(keep(host.clone(), board.clone(), listener, at, place, answer));
+    Ok((bound, task.abort_handle()))
+}
+
 /// Binds an address.
-pub async fn bind(at: SocketAddr) -> io::Result<TcpListener> {
+async fn bind(at: SocketAddr) -> io::Result<TcpListener> {
     TcpListener::bind(at).await.map_err(|e| io::Error::new(e.kind(), format!("{at}: {e}")))
 }
 
 /// Takes connections until the router is at its very end: a balancer that asks during the drain is answered.
-pub async fn keep<F: Future<Output = ()> + 'static>(
+async fn keep<F: Future<Output = ()> + 'static>(
     host: Rc<Host>,
     board: Rc<Board>,
     mut listener: TcpListener,
@@ -112,6 +127,10 @@
         };
         let Some(origin) = origin else { return board.spoilt() };
         let ip = origin.client.unwrap_or(from).ip();
-        answer(Call { host, board, wire, ip, client, idle: Some(idle) }).await;
+        let (ending, call) = (board.clone(), Call { host, board, wire, ip, client, idle: Some(idle) });
+        tokio::select! {
+            () = answer(call) => {}
+            () = ending.ended() => {}
+        }
     });
 }
--- a/router/src/checks/mod.rs
+++ b/router/src/checks/mod.rs
@@ -9,7 +9,8 @@
 pub mod signals;
 
 use std::cell::{Cell, RefCell};
-use std::net::IpAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -20,6 +21,7 @@
 use tallypin_health::state::{Assessment, Assessor, Order, Signals};
 use tallypin_health::Age;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 use crate::clients::Clients;
 use crate::host::Host;
@@ -44,6 +46,8 @@
     ending: Cell<bool>,
     now: watch::Sender<Assessment>,
     phase: watch::Sender<Phase>,
+    /// True once nothing is told any more.
+    over: watch::Sender<bool>,
     report: RefCell<OrcaLoadReport>,
     parts: RefCell<Vec<Part>>,
     outward: Rc<Outward>,
@@ -72,6 +76,7 @@
             changed: watch::Sender::new(0),
             now: watch::Sender::new(assessor.told()),
             phase: watch::Sender::new(Phase::Serving),
+            over: watch::Sender::new(false),
             assessor: RefCell::new(assessor),
             askers: RefCell::new(Askers::new(health.askers)),
             plan: RefCell::new(Plan::new(health.drain)),
@@ -210,6 +215,11 @@
         (self.answered.get(), self.spoilt.get())
     }
 
+    /// Waits until nothing is told any more.
+    pub(crate) async fn ended(&self) {
+        let _ = self.over.subscribe().wait_for(|over| *over).await;
+    }
+
     /// Who has asked of late.
     pub fn askers(&self) -> Vec<Shown> {
         self.askers.borrow().show(self.age())
@@ -275,47 +285,60 @@
     }
 }
 
+/// What was started, and where; dropped, it ends.
+pub struct Listening {
+    /// Agent checks.
+    pub agent: Option<SocketAddr>,
+    /// Checks over HTTP.
+    pub http: Option<SocketAddr>,
+    /// gRPC.
+    pub grpc: Option<SocketAddr>,
+    tasks: Vec<AbortHandle>,
+    over: watch::Sender<bool>,
+}
+
+impl Listening {
+    /// Ends it; when this returns its addresses are free.
+    pub async fn stop(self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+        while !self.tasks.iter().all(AbortHandle::is_finished) {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+impl Drop for Listening {
+    fn drop(&mut self) {
+        self.over.send_replace(true);
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
 /// Binds everything that the settings ask for and starts it; an address that is taken is an error, as a
 /// balancer that can't ask would take the router for dead.
-pub async fn start(host: &Rc<Host>, board: &Rc<Board>) -> std::io::Result<()> {
+pub async fn start(host: &Rc<Host>, board: &Rc<Board>) -> io::Result<Listening> {
     let (agent, http, grpc) = board
         .of_checks(|c| (c.agent.map(|a| a.listen), c.http, c.grpc.map(|g| g.listen)))
         .unwrap_or_default();
+    let mut all =
+        Listening { agent: None, http: None, grpc: None, tasks: Vec::new(), over: board.over.clone() };
     if let Some(at) = agent {
-        let listener = listen::bind(at).await?;
-        let serve = listen::keep(
-            host.clone(),
-            board.clone(),
-            listener,
-            at,
-            |c| c.agent.map(|a| a.listen),
-            agent::answer,
-        );
-        tokio::task::spawn_local(serve);
+        let place = |c: &CheckSettings| c.agent.map(|a| a.listen);
+        let (bound, task) = listen::start(host, board, at, place, agent::answer).await?;
+        (all.agent, all.tasks) = (Some(bound), vec![task]);
     }
     if let Some(at) = http {
-        let listener = listen::bind(at).await?;
-        tokio::task::spawn_local(listen::keep(
-            host.clone(),
-            board.clone(),
-            listener,
-            at,
-            |c| c.http,
-            http::answer,
-        ));
+        let (bound, task) = listen::start(host, board, at, |c| c.http, http::answer).await?;
+        all.http = Some(bound);
+        all.tasks.push(task);
     }
     if let Some(at) = grpc {
-        let listener = listen::bind(at).await?;
-        let serve = listen::keep(
-            host.clone(),
-            board.clone(),
-            listener,
-            at,
-            |c| c.grpc.map(|g| g.listen),
-            grpc::answer,
-        );
-        tokio::task::spawn_local(serve);
-    }
-    tokio::task::spawn_local(signals::keep(host.clone(), board.clone()));
-    Ok(())
+        let place = |c: &CheckSettings| c.grpc.map(|g| g.listen);
+        let (bound, task) = listen::start(host, board, at, place, grpc::answer).await?;
+        all.grpc = Some(bound);
+        all.tasks.push(task);
+    }
+    let measuring = signals::keep(host.clone(), board.clone());
+    all.tasks.push(tokio::task::spawn_local(measuring).abort_handle());
+    Ok(all)
 }
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -130,8 +130,12 @@
   weight N%      want so much weight at the most
 "
         .into(),
+        Some("settings") => format!(
+            "What may stand in the settings file (see docs/SETTINGS.md for its form):\n\n{}",
+            tallypin_conf::describe(&tallypin_router::installation::FILE)
+        ),
         Some("version") => "tallypin version\n\nPrints the version.\n".into(),
-        Some("help") => "tallypin help [COMMAND]\n\nPrints help.\n".into(),
+        Some("help") => "tallypin help [COMMAND]\n\nPrints help, `help settings` what may stand in the settings file.\n".into(),
         Some(other) => return Err(unknown(other)),
     })
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -165,12 +165,12 @@
     node_list::take(&host, &known, tallypin::api::ListKind::Cached);
     host.start();
     let mut board = None;
-    let mut adopting = None;
+    let (mut adopting, mut _listening) = (None, None);
     if let Some(installation) = &installation {
         host.outward.guard(installation.gate.clone());
         if installation.checks.is_some() || installation.control.is_some() {
             let started = Board::new(installation, host.outward.clone());
-            checks::start(&host, &started).await?;
+            _listening = Some(checks::start(&host, &started).await?);
             if let Some(control) = &installation.control {
                 let control = Control::bind(control).await?;
                 tokio::task::spawn_local(control.serve(host.clone(), started.clone()));
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -95,6 +95,12 @@
     Ok(())
 }
 
+/// Waits for a drain to come to the closing of the listeners, and closes.
+pub async fn when_drained(host: &Rc<Host>, board: &Board) {
+    closing(board).await;
+    close(host, board).await;
+}
+
 async fn closing(board: &Board) {
     let _ = board.phases().wait_for(|p| *p == Phase::Closing).await;
 }
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -45,6 +45,7 @@
         (&["check", "--print"], Some(&good), 2, "check wants --settings FILE with --print"),
         (&["help", "health"], None, 0, "--weight-exit"),
         (&["ctl", "--help"], None, 0, "drain end"),
+        (&["help", "settings"], None, 0, "slow-start"),
         (&["help", "helth"], None, 2, "did you mean `health`?"),
         (&["health", "--at", "127.0.0.1:9"], None, 1, "127.0.0.1:9: "),
         (&["health"], None, 2, "health wants --at ADDRESS"),
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,5 @@
+//! Stand-ins of the systems around a router, written from their public specifications, for its tests and
+//! measurements. They share no code with the router: what both sides got wrong alike would not show.
+
+pub mod balancer;
+pub mod checkers;
