Test the program with settings: SIGHUP, orders, check program, and a log that nobody reads

Need: the listeners and the log were tested inside one process; the program itself with a settings file was not, where a SIGHUP had panicked.

Change: program tests over real processes on loopback addresses of their own, so that no port is taken while its owner is away. Stand-in nodes and the stand-in balancer write small pieces at once: each exchange had waited 40 ms for an acknowledgement.

--- a/health/tests/decisions.rs
+++ b/health/tests/decisions.rs
@@ -281,7 +281,7 @@
     assert!(shown.iter().all(|s| s.who != gone));
     // One that asks more seldom than is taken for granted is learnt all the same.
     let mut rare = Askers::new(askers::Figures::default());
-    [0, 9000, 18_000].map(|at| rare.asked(ms(at), slow));
+    [0, 9000, 18_000].iter().for_each(|at| rare.asked(ms(*at), slow));
     rare.drain(ms(26_000));
     assert!(!rare.all_told(ms(44_000)) && rare.all_told(ms(46_000)), "{:?}", rare.show(ms(26_000)));
     // Taken back, and begun again: all have to hear once more.
--- a/router/tests/checks.rs
+++ b/router/tests/checks.rs
@@ -605,11 +605,14 @@
     (0..clients).map(one).collect()
 }
 
+/// How a router is checked, and how often.
+type How = fn(&Checked, Duration) -> Check;
+
 /// Traffic shifts at the first check that ends after the drain has begun, in each protocol, and nothing is lost.
 #[test]
 fn traffic_shifts_within_one_check_interval() {
     let every = 15 * MS;
-    let checks: [(&str, fn(&Checked, Duration) -> Check); 3] = [
+    let checks: [(&str, How); 3] = [
         ("agent", |r, every| Check::Agent(r.agent(), every, "")),
         ("http", |r, every| Check::Http(r.http(), every, "/healthz", 1, 2)),
         ("watch", |r, _| Check::Watch(r.grpc())),
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -161,6 +161,8 @@
         let (script, flooded, hasty) = (node.script.clone(), node.flooded.clone(), node.hasty.clone());
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                // Small writes go out at once, as a node's do; else each waits 40 ms for an acknowledgement.
+                let _ = stream.set_nodelay(true);
                 let _ = tell.send(Seen::Connected);
                 let (script, flooded, hasty) = (script.clone(), flooded.clone(), hasty.clone());
                 let tell = tell.clone();
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -72,7 +72,7 @@
 #[test]
 fn sighup_has_the_configuration_read_again_and_sigterm_ends_it_with_exit_code_0() {
     // A port that was free a moment ago: the program names none that it picks itself.
-    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listen = free("127.2.2.1");
     let path = std::env::temp_dir().join(format!("tallypin-term-{}.json", std::process::id()));
     let good = include_str!("../../examples/config.json");
     std::fs::write(&path, good).unwrap();
@@ -105,3 +105,133 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
     std::fs::remove_file(&path).unwrap();
 }
+
+/// A program with settings, and where it listens: the front, and agent checks.
+struct Served {
+    child: std::process::Child,
+    dir: std::path::PathBuf,
+    front: std::net::SocketAddr,
+    agent: std::net::SocketAddr,
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Ports on an address that nothing else on the machine uses.
+fn free(ip: &str) -> std::net::SocketAddr {
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+}
+
+impl Served {
+    fn start(name: &str, ip: &str, more: &str) -> Served {
+        let dir = std::env::temp_dir().join(format!("tallypin-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let (front, agent) = (free(ip), free(ip));
+        let (config, settings) = (dir.join("config.json"), dir.join("t.conf"));
+        std::fs::write(&config, include_str!("../../examples/config.json")).unwrap();
+        std::fs::write(&settings, Served::settings(agent, &dir, more)).unwrap();
+        let mut serve = tallypin();
+        serve.arg("serve").arg("--settings").arg(&settings).env("PROXY_CONFIG", &config);
+        serve.env("PROXY_LISTEN", front.to_string()).env("PROXY_DISCOVERY", "127.0.0.1:9");
+        let served = Served { child: serve.spawn().unwrap(), dir, front, agent };
+        while TcpStream::connect(front).is_err() {
+            std::thread::yield_now();
+        }
+        served
+    }
+
+    fn settings(agent: std::net::SocketAddr, dir: &std::path::Path, more: &str) -> String {
+        let socket = dir.join("ctl");
+        format!(
+            "checks {{\n agent {{\n listen {agent}\n}}\n}}\ncontrol {{\n socket {}\n}}\n\
+             drain {{\n least 1ms\n settle 1ms\n parting 1ms\n unknown-interval 1ms\n}}\n{more}",
+            socket.display()
+        )
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    fn ctl(&self, order: &str) -> (Option<i32>, String) {
+        said(tallypin().arg("ctl").arg("--socket").arg(self.dir.join("ctl")).args(order.split(' ')))
+    }
+
+    fn health(&self, more: &[&str]) -> (Option<i32>, String) {
+        said(tallypin().args(["health", "--at", &self.agent.to_string()]).args(more))
+    }
+}
+
+#[test]
+fn settings_are_read_again_on_sighup_and_an_order_ends_the_program() {
+    let mut served = Served::start("hup", "127.2.0.1", "log {\n level info\n}\n");
+    let mut lines = BufReader::new(served.child.stderr.take().unwrap()).lines();
+    let mut told = |words: &str| lines.by_ref().map(Result::unwrap).find(|l| l.contains(words)).expect(words);
+    told("listens");
+    assert_eq!(served.health(&[]), (Some(0), "up ready 1%\n".into()), "no node is known yet");
+    assert_eq!(served.health(&["--weight-exit"]).0, Some(3));
+    let write = |text: &str| std::fs::write(served.dir.join("t.conf"), text).unwrap();
+    write("checks {\n agant {\n");
+    served.signal("-HUP");
+    assert!(told("`agant` is not known in section `checks`").contains("configuration kept as it was"));
+    let moved = free("127.2.0.2");
+    let more = "log {\n level debug\n queue 99\n}\n";
+    write(&Served::settings(moved, &served.dir, more));
+    served.signal("-HUP");
+    told("has changed: it takes a restart field=\"log.queue\"");
+    told("taken over field=\"log.level\"");
+    told("check listener moved");
+    served.agent = moved;
+    assert_eq!(served.health(&[]).0, Some(0));
+    assert_eq!(served.ctl("maint").0, Some(0));
+    assert_eq!(served.health(&[]).0, Some(1));
+    assert_eq!(served.health(&["--weight-exit"]).0, Some(1));
+    assert_eq!(served.ctl("drain").0, Some(0));
+    assert_eq!(served.health(&["--weight-exit"]), (Some(2), "up drain\n".into()));
+    let (code, shown) = served.ctl("show");
+    assert!(code == Some(0) && shown.contains("\"state\":\"drain\""), "{shown}");
+    assert_eq!(served.ctl("drain end").0, Some(0));
+    told("ends");
+    assert_eq!(served.child.wait().unwrap().code(), Some(0));
+    assert_eq!(served.ctl("show").0, Some(1), "the socket goes with the program");
+}
+
+/// Guards against a log that nobody reads holding up the one thread: its lines are dropped, and counted.
+#[test]
+fn a_log_that_is_not_read_holds_nothing_up() {
+    let more = "log {\n level debug\n form json\n queue 16\n}\n";
+    let mut served = Served::start("log", "127.2.1.1", more);
+    let mut client = TcpStream::connect(served.front).unwrap();
+    let mut answers = BufReader::new(client.try_clone().unwrap());
+    // Far more than a pipe holds.
+    for i in 0..1500 {
+        // Whoever asks again and again on one connection after refusals is held up, which is another matter.
+        if i % 8 == 7 {
+            client = TcpStream::connect(served.front).unwrap();
+            answers = BufReader::new(client.try_clone().unwrap());
+        }
+        client.write_all(common::platform("", "{}").as_bytes()).unwrap();
+        let mut status = String::new();
+        answers.read_line(&mut status).unwrap();
+        assert_eq!(status, "HTTP/1.1 503 Service Unavailable\r\n");
+        let mut line = String::new();
+        while line != "refused\n" {
+            line.clear();
+            answers.read_line(&mut line).unwrap();
+        }
+    }
+    // Read from now on, it tells what is missing, as lines of JSON with the fields' names.
+    let lines = BufReader::new(served.child.stderr.take().unwrap()).lines().map(Result::unwrap);
+    let mut lines =
+        lines.map(|l| serde_json::from_str::<serde_json::Value>(&l).unwrap_or_else(|e| panic!("{l}: {e}")));
+    let taken = lines.find(|l| l["message"] == "request taken").unwrap();
+    assert_eq!((&taken["class"], &taken["partner"]), (&"chat".into(), &"haendlerbund".into()));
+    let dropped = lines.find(|l| l["message"] == "lines of the log were dropped").unwrap();
+    assert!(dropped["dropped"].as_u64().unwrap() > 0, "{dropped}");
+}
--- a/standin/src/balancer.rs
+++ b/standin/src/balancer.rs
@@ -230,7 +230,10 @@
             let stream = match kept {
                 Some(stream) => stream,
                 None => match TcpStream::connect(server.front).await {
-                    Ok(stream) => stream,
+                    Ok(stream) => {
+                        let _ = stream.set_nodelay(true);
+                        stream
+                    }
                     // Nothing was sent: another server may have it.
                     Err(_) => {
                         self.redispatched.set(self.redispatched.get() + 1);
