--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,6 +5,7 @@
 //! first-token wait. Sections: constants, membership, admission, reports, pick, attempts, health.
 
 use crate::api::*;
+use crate::estimate;
 use crate::report;
 use crate::state::*;
 use crate::stats::{mix, unit_race, Recent};
@@ -61,13 +62,8 @@
 pub(crate) const FIT_KEEP: f64 = 0.995;
 /// Weight of the prior in that fit, tokens squared: that of ten samples 1,000 tokens off the mean.
 pub(crate) const FIT_PRIOR: f64 = 1e7;
-/// Reading a prompt also holds up the streams that share the replica: in ranking it counts so often. Much
-/// more, and sessions stay with a home that has turned slow.
-const READ_WEIGHT: f64 = 3.0;
 /// Unread tokens of a mean request before any sample says otherwise.
 const MEAN_UNREAD: f64 = 1000.0;
-/// And more the more of the aim first tokens take: in a jam a moved session makes the work of many.
-const READ_STRAIN: f64 = 1.0;
 /// Weight of a new sample in the pace of a kind of machine: answers differ much in length.
 pub(crate) const PACE_WEIGHT: f64 = 0.02;
 /// The most kinds told apart.
@@ -526,7 +522,6 @@
         }
         let r = &open.request;
         let per_token = self.per_token();
-        let read_weight = READ_WEIGHT * (1.0 + READ_STRAIN * self.fleet.strain);
         let aim = self.aim(r);
         let (prompt, prefix) = (f64::from(r.prompt_tokens), f64::from(r.prefix_tokens));
         let session = r.session.map_or(0, |s| s.0);
@@ -574,14 +569,17 @@
             let age = now.saturating_sub(c.reported_at) as f64 / SECOND as f64;
             let backlog = c.unread * (-age).exp2();
             let crowd = if c.sampled_at > 0 { c.crowd } else { self.fleet.crowd };
-            let base = self.smoothed(now, c) * f64::from(1 + c.open) / crowd.max(1.0);
+            let smoothed = self.smoothed(now, c) / crowd.max(1.0);
+            let base = smoothed * f64::from(1 + c.open);
             let read = (unread + backlog) * per_token / self.fleet.speed(c.row.kind);
             // What has waited longest without a token tells the least that the next one may wait.
             let oldest = c.waiting.first().map_or(0.0, |&t| now.saturating_sub(t) as f64);
             let far = c.row.zone != self.set.zone;
             let cross = if far { CROSS_AIMS * self.set.cross_zone_price * aim } else { 0.0 };
             let wait = (base + read).max(oldest);
-            let rank = (base.max(1e6) + read_weight * read).max(oldest) + cross;
+            // Ranked by what is believed, admitted by what was sampled: the first compares replicas, the second
+            // asks whether there is time.
+            let rank = estimate::ranked(smoothed, aim, c.open) + read + cross;
             let pick = Pick { replica: i, unread, wait };
             // Ties are broken at random.
             let rank = rank * (1.0 + 1e-6 * self.rng.f64());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod choice;
+pub mod estimate;
 pub mod names;
 pub mod report;
 pub mod settings;
