--- a/src/choice.rs
+++ b/src/choice.rs
@@ -256,6 +256,8 @@
                 }
             }
         }
+        // Each place is looked at once a list: a whole one of a large fleet would else take its square.
+        let mut looked = 0;
         for row in rows {
             match self.index.get(&row.replica) {
                 Some(&i) => {
@@ -266,7 +268,7 @@
                     }
                 }
                 None => {
-                    let i = self.free_slot();
+                    let i = self.free_slot(&mut looked);
                     self.index.insert(row.replica, i);
                     self.replicas[i].row = row;
                     self.reset(now, i);
@@ -277,13 +279,17 @@
     }
 
     /// A place for a new replica: that of one gone for good, or one more.
-    fn free_slot(&mut self) -> usize {
+    fn free_slot(&mut self, looked: &mut usize) -> usize {
         let gone = |r: &Replica| r.row.state == ReplicaState::Gone && r.open == 0;
-        let i = self.replicas.iter().position(gone).unwrap_or_else(|| {
-            self.replicas.push(Replica::default());
-            self.replicas.len() - 1
-        });
-        self.index.retain(|_, &mut at| at != i);
+        while self.replicas.get(*looked).is_some_and(|r| !gone(r)) {
+            *looked += 1;
+        }
+        let i = *looked;
+        *looked += 1;
+        match self.replicas.get(i) {
+            Some(r) => drop(self.index.remove(&r.row.replica)),
+            None => self.replicas.push(Replica::default()),
+        }
         self.replicas[i] = Replica::default();
         i
     }
