--- a/src/choice.rs
+++ b/src/choice.rs
@@ -583,8 +583,8 @@
             let far = c.row.zone != self.set.zone;
             let cross = if far { CROSS_AIMS * self.set.cross_zone_price * aim } else { 0.0 };
             let wait = (base + read).max(oldest);
-            // Ranked by what is believed, admitted by what was sampled: the first compares replicas, the second
-            // asks whether there is time.
+            // Ranked by what is believed, admitted by what was sampled: the first compares replicas,
+            // the second asks whether there is time.
             let rank = estimate::ranked(smoothed, aim, c.open) + read + cross;
             let pick = Pick { replica: i, unread, wait };
             // Ties are broken at random.
