Log where a balancer says a client is, and test load reports out of band

Need: the PROXY protocol named the client, and no line of the log held it with its request; the ORCA stream had no test on a socket.

Change: 'request taken' carries the field client; a test reads three reports from the stream, and its absence where settings leave it off. The test found that a report told the weight of the measurement before; mended.

--- a/router/src/checks/mod.rs
+++ b/router/src/checks/mod.rs
@@ -168,9 +168,6 @@
     /// What was measured, and what is told in consequence.
     pub fn measured(&self, signals: Signals, report: OrcaLoadReport, parts: Vec<Part>) {
         *self.parts.borrow_mut() = parts;
-        let weight = f64::from(self.assessment().weight) / 100.0;
-        let mut report = report;
-        report.named_metrics.insert("weight".into(), weight);
         *self.report.borrow_mut() = report;
         self.signals.set(signals);
         self.assess(signals);
@@ -181,6 +178,9 @@
             Signals { order: self.order.get(), most: self.most.get(), ending: self.ending.get(), ..signals };
         let told = self.assessor.borrow_mut().step(self.age(), &signals);
         self.outward.tell(told);
+        // In the report that goes out with it, not in the next one.
+        let weight = f64::from(told.weight) / 100.0;
+        self.report.borrow_mut().named_metrics.insert("weight".into(), weight);
         let before = self.now.send_replace(told);
         if before.state != told.state {
             tracing::info!(target: "checks", state = %told.state, weight = told.weight,
--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -146,6 +146,7 @@
             target: Bytes::from_static(host.nodes.dialect.path()),
             body,
             text: !(same && asked.stream),
+            client: request.client,
         };
         let Some(mut ticket) = host.submit(ask, prompt) else {
             return turn(host, wire, Turned::Twice).await;
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -84,7 +84,7 @@
         return turn(host, wire, Turned::Full).await;
     }
     let same = host.nodes.dialect == Dialect::Chat;
-    let Incoming { method, mut target, mut body, .. } = request;
+    let Incoming { method, mut target, mut body, client, .. } = request;
     if !same {
         // An old client, newer model nodes: the one case in which this front is not thin.
         let Ok(asked) = Asked::chat(&body.bytes) else {
@@ -95,7 +95,7 @@
         (target, body) =
             (Bytes::from_static(host.nodes.dialect.path()), HeldBody { bytes: bytes.into(), reserved });
     }
-    let prompt = Prompt { id, method, target, body, text: !same };
+    let prompt = Prompt { id, method, target, body, text: !same, client };
     let Some(mut ticket) = host.submit(ask, prompt) else {
         return turn(host, wire, Turned::Twice).await;
     };
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -86,6 +86,8 @@
     pub body: HeldBody,
     /// The front wants the text of events, not only their bytes.
     pub text: bool,
+    /// Where its client is, where a balancer says so; for the log.
+    pub client: Option<SocketAddr>,
 }
 
 /// A part of the budget for bodies, given back when it is dropped.
@@ -253,7 +255,7 @@
         let (id, orders) = self.ask(|core, now| core.take(now, ask));
         tracing::debug!(target: "request", request = id.0, name = %String::from_utf8_lossy(&prompt.id),
             class = self.deployment.classes.get(class).map_or("", |c| &c.name),
-            partner = self.deployment.partners.get(partner).map_or("", |p| p), "request taken");
+            partner = self.deployment.partners.get(partner).map_or("", |p| p), client = prompt.client.map(tracing::field::display), "request taken");
         self.waiting.borrow_mut().insert(id, Waiting { pieces, prompt: Rc::new(prompt) });
         self.carry_out(orders);
         Some(Ticket { host: self.clone(), id, _name: name, pieces: receiver })
--- a/router/tests/checks.rs
+++ b/router/tests/checks.rs
@@ -13,6 +13,7 @@
 use tallypin::api::{ListKind, PeerId};
 use tallypin_health::plan::{Phase, Wish};
 use tallypin_health::state::{Order, State};
+use tallypin_health::{grpc, orca};
 use tallypin_router::checks::control::{obey, Command, Control};
 use tallypin_router::checks::{self, Board, Listening};
 use tallypin_router::dialect::Dialect::Chat;
@@ -471,6 +472,48 @@
     });
 }
 
+/// Load reports come out of band, as often as is asked for within the bounds.
+#[test]
+fn load_reports_are_streamed_where_settings_say_so() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let on = "listen 127.0.0.1:0\n reports on\n report-least 10ms\n    }\n}";
+        let router = start(&[&node], &ANYWHERE, &[("listen 127.0.0.1:0\n    }\n}", on)]).await;
+        let stream = TcpStream::connect(router.grpc()).await.unwrap();
+        let (mut send, connection) = h2::client::handshake(stream).await.unwrap();
+        let driven = spawn_local(connection);
+        let request = http::Request::post(format!("http://r{}", orca::STREAM));
+        let request = request.header("content-type", "application/grpc").body(()).unwrap();
+        let (answer, mut body) = send.send_request(request, false).unwrap();
+        let every = orca::ProtoDuration { seconds: 0, nanos: 20_000_000 };
+        let asked = orca::OrcaLoadReportRequest { report_interval: Some(every), request_cost_names: vec![] };
+        body.send_data(grpc::frame(&asked), true).unwrap();
+        let mut stream = answer.await.unwrap().into_body();
+        let (mut buf, mut reports) = (bytes::BytesMut::new(), Vec::new());
+        while reports.len() < 3 {
+            let data = stream.data().await.unwrap().unwrap();
+            stream.flow_control().release_capacity(data.len()).unwrap();
+            buf.extend_from_slice(&data);
+            while let Some(report) = grpc::take::<orca::OrcaLoadReport>(&mut buf).unwrap() {
+                reports.push(report);
+            }
+        }
+        assert!(reports.iter().all(|r| r.named_metrics["weight"] > 0.5), "{reports:?}");
+        driven.abort();
+        // Off, there is no such method.
+        let plain = start(&[&node], &ANYWHERE, &[]).await;
+        let stream = TcpStream::connect(plain.grpc()).await.unwrap();
+        let (mut send, connection) = h2::client::handshake(stream).await.unwrap();
+        let driven = spawn_local(connection);
+        let request = http::Request::post(format!("http://r{}", orca::STREAM));
+        let request = request.header("content-type", "application/grpc").body(()).unwrap();
+        let (answer, mut body) = send.send_request(request, false).unwrap();
+        body.send_data(grpc::frame(&asked), true).unwrap();
+        assert_eq!(answer.await.unwrap().headers()["grpc-status"], "12");
+        driven.abort();
+    });
+}
+
 #[test]
 fn a_preface_is_taken_from_balancers_alone() {
     run(async {
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -205,15 +205,21 @@
 /// Guards against a log that nobody reads holding up the one thread: its lines are dropped, and counted.
 #[test]
 fn a_log_that_is_not_read_holds_nothing_up() {
-    let more = "log {\n level debug\n form json\n queue 16\n}\n";
+    let more = "log {\n level debug\n form json\n queue 16\n}\n\
+                proxy-protocol {\n from 127.0.0.0/8\n platform on\n}\n";
+    let connect = |at| {
+        let mut client = TcpStream::connect(at).unwrap();
+        client.write_all(b"PROXY TCP4 192.0.2.7 127.0.0.1 8080 80\r\n").unwrap();
+        client
+    };
     let mut served = Served::start("log", "127.2.1.1", more);
-    let mut client = TcpStream::connect(served.front).unwrap();
+    let mut client = connect(served.front);
     let mut answers = BufReader::new(client.try_clone().unwrap());
     // Far more than a pipe holds.
     for i in 0..1500 {
         // Whoever asks again and again on one connection after refusals is held up, which is another matter.
         if i % 8 == 7 {
-            client = TcpStream::connect(served.front).unwrap();
+            client = connect(served.front);
             answers = BufReader::new(client.try_clone().unwrap());
         }
         client.write_all(common::platform("", "{}").as_bytes()).unwrap();
@@ -232,6 +238,7 @@
         lines.map(|l| serde_json::from_str::<serde_json::Value>(&l).unwrap_or_else(|e| panic!("{l}: {e}")));
     let taken = lines.find(|l| l["message"] == "request taken").unwrap();
     assert_eq!((&taken["class"], &taken["partner"]), (&"chat".into(), &"haendlerbund".into()));
+    assert_eq!(taken["client"], "192.0.2.7:8080", "as the balancer says");
     let dropped = lines.find(|l| l["message"] == "lines of the log were dropped").unwrap();
     assert!(dropped["dropped"].as_u64().unwrap() > 0, "{dropped}");
 }
