Test the cold node's limit with requests that are open together

Cause: the test sent twenty requests one after the other, each to two idle nodes. Stand-in nodes answer at once now (no delayed acknowledgement), and the rank goes to whoever answered sooner, so a node taken for warm got one of twenty; the rule itself was kept.

Change: the twenty are sent at once to nodes that take 40 ms; the figures asserted are the same (at most 2 to the cold node, more to the same node when it is warm).

--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -160,8 +160,17 @@
             let mut row_of_young = row(id, young.addr, "active");
             row_of_young.started_ms = started_ms;
             router.list([row("s-0", warm.addr, "active"), row_of_young]);
+            // At once: one after the other, whoever answered sooner would get them all.
+            warm.plan(&[Fault::Slow; 20]);
+            young.plan(&[Fault::Slow; 20]);
+            let mut clients = Vec::new();
             for _ in 0..20 {
-                assert_eq!(Client::to(router.addr).await.ask("").await.0, 200);
+                let mut client = Client::to(router.addr).await;
+                client.send(&platform("", "{}")).await;
+                clients.push(client);
+            }
+            for client in &mut clients {
+                assert_eq!(client.answer().await.0, 200);
             }
             got.push(young.so_far().1);
         }
