Take out what the checks wrote again: statuses, the wait for clients, a timer never used

Need: read over once more, the change held a second table of statuses for bad requests (Turned has it), the wait for the last client twice in shutdown, an interval in signals that nothing awaited, and a field of Origin that nothing read.

Change: each is there once or gone. Behaviour is as it was.

--- a/router/src/checks/http.rs
+++ b/router/src/checks/http.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::listen::Call;
-use crate::front::linger;
+use crate::front::{linger, Turned};
 use crate::http::{reason, Bad, Body, Framing, Head, Part, Start};
 
 /// The largest body of a check that is read over; checks have none.
@@ -45,13 +45,7 @@
             Read::Gone => return,
             Read::Bad(bad) => {
                 call.board.spoilt();
-                let status = match bad {
-                    Bad::Malformed => 400,
-                    Bad::LargeBody => 413,
-                    Bad::LargeHead => 431,
-                    Bad::Coding => 501,
-                };
-                (refusal(status), false, false)
+                (refusal(Turned::from(bad).status()), false, false)
             }
             Read::Asked(head) => {
                 let bodiless = matches!(&head.start, Start::Request(m, _) if &m[..] == b"HEAD");
--- a/router/src/checks/signals.rs
+++ b/router/src/checks/signals.rs
@@ -21,8 +21,6 @@
 /// Measures again and again, and carries a drain on. Ends never.
 pub async fn keep(host: Rc<Host>, board: Rc<Board>) {
     let mut seen = Seen::new(&host);
-    let mut wait = tokio::time::interval(LATENESS);
-    wait.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let (mut late, mut measured) = (Duration::ZERO, Instant::now());
     loop {
         let due = Instant::now() + LATENESS;
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -161,7 +161,7 @@
         },
         None => None,
     };
-    let Some(Origin { client: from, .. }) = from else { return };
+    let Some(Origin { client: from }) = from else { return };
     let (mut asked, mut hasty, mut refused_at) = (false, 0, None);
     // A first request is owed an answer, or the connection a close, soon after it was opened.
     let mut whole_by = Instant::now() + host.limits.read;
--- a/router/src/outward.rs
+++ b/router/src/outward.rs
@@ -51,8 +51,6 @@
 /// Whose a connection is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Origin {
-    /// Who opened it.
-    pub peer: Option<SocketAddr>,
     /// The client, as far as is known: as a preface tells it, or else the peer.
     pub client: Option<SocketAddr>,
 }
@@ -109,18 +107,18 @@
             (gate.wants(door), gate.within)
         };
         if !wanted {
-            return Some(Origin { peer: None, client: None });
+            return Some(Origin { client: None });
         }
         let peer = wire.stream.peer_addr().ok()?;
         // From anybody else it is no preface but an attempt to be someone: it stays where it is, and is no
         // request either.
         if !self.gate.borrow().senders.sends(peer.ip()) {
-            return Some(Origin { peer: Some(peer), client: Some(peer) });
+            return Some(Origin { client: Some(peer) });
         }
         let found = timeout(within, read_preface(wire)).await;
         let why = match found {
             Ok(Ok(client)) => {
-                return Some(Origin { peer: Some(peer), client: client.or(Some(peer)) });
+                return Some(Origin { client: client.or(Some(peer)) });
             }
             Ok(Err(why)) => why,
             Err(_) => "no whole PROXY preface in time",
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -105,18 +105,20 @@
     let _ = board.phases().wait_for(|p| *p == Phase::Closing).await;
 }
 
+/// Waits until no client connection is open.
+async fn all_gone(host: &Host) {
+    while host.clients.open() > 0 {
+        host.clients.one_closed().await;
+    }
+}
+
 /// The last part of a drain that balancers have been told of.
 async fn close(host: &Rc<Host>, board: &Board) {
     let open = host.with(|core, _| core.open());
     tracing::info!(target: "drain", clients = host.clients.open(), open, untold = board.untold(), "closes");
     host.drain.enter(Stage::Closing);
     sleep(host.limits.last_look * 2).await;
-    let finished = async {
-        while host.clients.open() > 0 {
-            host.clients.one_closed().await;
-        }
-    };
-    if timeout(host.limits.finish, finished).await.is_err() {
+    if timeout(host.limits.finish, all_gone(host)).await.is_err() {
         let left = host.clients.open();
         tracing::warn!(target: "drain", clients = left, "ends with clients that have not finished");
     }
@@ -145,12 +147,7 @@
     host.drain.enter(Stage::Closing);
     // Whatever was under way when the listeners closed has been seen by then.
     sleep(host.limits.last_look * 2).await;
-    let finished = async {
-        while host.clients.open() > 0 {
-            host.clients.one_closed().await;
-        }
-    };
-    let mut finished = std::pin::pin!(finished);
+    let mut finished = std::pin::pin!(all_gone(host));
     let until = host.clock.instant(told.saturating_add(host.limits.last_word.as_nanos() as u64));
     if timeout_at(until.into(), &mut finished).await.is_err() {
         // Whoever has come late in the grace is owed an end while there is one to give.
