--- a/router/tests/checks.rs
+++ b/router/tests/checks.rs
@@ -472,6 +472,21 @@
     });
 }
 
+/// Asks for the stream of load reports; gives its head and what drives the connection.
+async fn ask_reports(
+    at: SocketAddr,
+    asked: &orca::OrcaLoadReportRequest,
+) -> (http::Response<h2::RecvStream>, AbortHandle) {
+    let stream = TcpStream::connect(at).await.unwrap();
+    let (mut send, connection) = h2::client::handshake(stream).await.unwrap();
+    let driven = spawn_local(connection).abort_handle();
+    let request = http::Request::post(format!("http://r{}", orca::STREAM));
+    let request = request.header("content-type", "application/grpc").body(()).unwrap();
+    let (answer, mut body) = send.send_request(request, false).unwrap();
+    body.send_data(grpc::frame(asked), true).unwrap();
+    (answer.await.unwrap(), driven)
+}
+
 /// Load reports come out of band, as often as is asked for within the bounds.
 #[test]
 fn load_reports_are_streamed_where_settings_say_so() {
@@ -479,16 +494,10 @@
         let node = Node::new(Chat).await;
         let on = "listen 127.0.0.1:0\n reports on\n report-least 10ms\n    }\n}";
         let router = start(&[&node], &ANYWHERE, &[("listen 127.0.0.1:0\n    }\n}", on)]).await;
-        let stream = TcpStream::connect(router.grpc()).await.unwrap();
-        let (mut send, connection) = h2::client::handshake(stream).await.unwrap();
-        let driven = spawn_local(connection);
-        let request = http::Request::post(format!("http://r{}", orca::STREAM));
-        let request = request.header("content-type", "application/grpc").body(()).unwrap();
-        let (answer, mut body) = send.send_request(request, false).unwrap();
         let every = orca::ProtoDuration { seconds: 0, nanos: 20_000_000 };
         let asked = orca::OrcaLoadReportRequest { report_interval: Some(every), request_cost_names: vec![] };
-        body.send_data(grpc::frame(&asked), true).unwrap();
-        let mut stream = answer.await.unwrap().into_body();
+        let (answer, driven) = ask_reports(router.grpc(), &asked).await;
+        let mut stream = answer.into_body();
         let (mut buf, mut reports) = (bytes::BytesMut::new(), Vec::new());
         while reports.len() < 3 {
             let data = stream.data().await.unwrap().unwrap();
@@ -502,14 +511,8 @@
         driven.abort();
         // Off, there is no such method.
         let plain = start(&[&node], &ANYWHERE, &[]).await;
-        let stream = TcpStream::connect(plain.grpc()).await.unwrap();
-        let (mut send, connection) = h2::client::handshake(stream).await.unwrap();
-        let driven = spawn_local(connection);
-        let request = http::Request::post(format!("http://r{}", orca::STREAM));
-        let request = request.header("content-type", "application/grpc").body(()).unwrap();
-        let (answer, mut body) = send.send_request(request, false).unwrap();
-        body.send_data(grpc::frame(&asked), true).unwrap();
-        assert_eq!(answer.await.unwrap().headers()["grpc-status"], "12");
+        let (answer, driven) = ask_reports(plain.grpc(), &asked).await;
+        assert_eq!(answer.headers()["grpc-status"], "12");
         driven.abort();
     });
 }
