--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -395,6 +395,7 @@
                     if failed || !host.with(|core, now| core.started(now, id, attempt)) {
                         return (AttemptEnd { outcome: Outcome::Error, ..end }, false);
                     }
+                    tracing::debug!(target: "node", request = id.0, attempt, "stream begun");
                     self.deadline = BOUND;
                     // No further attempt will need the prompt: its part of the budget is free again.
                     self.prompt = None;
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -78,6 +78,8 @@
 pub fn take(host: &Rc<Host>, page: &Page, kind: ListKind) {
     let rows: Vec<ReplicaRow> = page.servers.iter().map(|r| r.decode(&host.deployment)).collect();
     for (row, decoded) in page.servers.iter().zip(&rows) {
+        tracing::debug!(target: "node_list", version = page.version, ?kind, node = %row.id, state = %row.state,
+            started_ms = row.started_ms, machine = %row.kind, "node list: a row");
         if decoded.state != ReplicaState::Gone {
             let ready = decoded.state == ReplicaState::Ready;
             host.nodes.set(decoded.replica, row.addr, row.started_ms, ready);
