--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::api::*;
 use crate::estimate::{self, Pace};
 use crate::kept::{self, Sessions};
-use crate::membership::{self, Membership};
+use crate::membership::{Members, Membership};
 use crate::report;
 use crate::state::*;
 use crate::stats::{mix, unit_race, Recent};
@@ -15,7 +15,6 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::rc::Rc;
 
 // ---- Constants: none is taken from a deployment ----
 
@@ -27,11 +26,11 @@
 /// The least burst of a gateway, in tokens: with less, chance clusters of a small tenant are refused.
 const MIN_BURST: f64 = 6.0;
 /// The least share of a tenant's quota that a gateway claims, as a part of an even split.
-const FOOT: f64 = 0.25;
+pub(crate) const FOOT: f64 = 0.25;
 /// Bounds of the report period, s.
 const PERIOD_S: (f64, f64) = (0.25, 8.0);
 /// Weight of a new sample in the smoothed hit rates. Counts of one period are small and thus noisy.
-const RATE_WEIGHT: f64 = 0.25;
+pub(crate) const RATE_WEIGHT: f64 = 0.25;
 /// A peer silent for so many periods is forecast at half, and half again each period.
 const SILENT_PERIODS: f64 = 3.0;
 /// Where replicas are plainly idle, buckets fill faster by up to this share of the quota. Idle means that
@@ -43,20 +42,22 @@
 const LEAST_RATE: f64 = 0.2;
 /// Weight of a new sample in a replica's smoothed wait; a gateway has few streams on each.
 const WAIT_WEIGHT: f64 = 0.3;
-/// Weight of a new sample in what is smoothed over all replicas.
-const FLEET_WEIGHT: f64 = 0.04;
+/// The least weight of a new sample in what is smoothed over all replicas, and the time, s, after which the
+/// newer samples have half of it, however few they are: with many gateways each has one in a second or two.
+pub(crate) const FLEET_WEIGHT: f64 = 0.04;
+pub(crate) const FLEET_HALF_S: f64 = 3.0;
 /// A smoothed wait loses half of its distance to the fleet's in this time, s: old news is no news.
 const STALE_HALF_S: f64 = 4.0;
 /// Replicas drawn at random for a pick, beside the likely holders of the prompt.
 const SAMPLED: usize = 4;
 /// The most homes (likely holders) of a shared beginning that a pick looks at.
-const MOST_HOMES: usize = 32;
+pub(crate) const MOST_HOMES: usize = 32;
 /// The fewest homes of a beginning, so that one slow home does not hold it up.
 const LEAST_HOMES: f64 = 2.0;
 /// Memory of the traffic's mix, s.
 pub(crate) const RECENT_S: f64 = 20.0;
 /// The most beginnings whose traffic and homes are remembered.
-const MOST_KEYS: usize = 4096;
+pub(crate) const MOST_KEYS: usize = 4096;
 /// Homes per replica's worth of a beginning's traffic.
 const HOMES_PER_SHARE: f64 = 5.0;
 /// Tokens read per second before any sample says otherwise.
@@ -65,8 +66,6 @@
 pub(crate) const FIT_KEEP: f64 = 0.995;
 /// Weight of the prior in that fit, tokens squared: that of ten samples 1,000 tokens off the mean.
 pub(crate) const FIT_PRIOR: f64 = 1e7;
-/// Unread tokens of a mean request before any sample says otherwise.
-const MEAN_UNREAD: f64 = 1000.0;
 /// Weight of a new sample in the pace of a kind of machine: answers differ much in length.
 pub(crate) const PACE_WEIGHT: f64 = 0.02;
 /// The most kinds told apart.
@@ -106,21 +105,14 @@
 /// the mean leaves room; the rule allows 2.5 times the capacity, of which the mean flow is a part.
 const COLD_FLOW: f64 = 2.0;
 
+/// The most cold replicas that a pick looks at.
+const COLD_SEEN: usize = 64;
+
 /// Timer tokens.
 const TICK: u64 = 1;
 const WATCH: u64 = 2;
 const CHECK: u64 = 3;
 
-impl Bucket {
-    /// The part of the peers' forecast that drains here, and this gateway's share of the tenant's hits.
-    /// A gateway that has served nothing lately keeps a foot in the door.
-    fn split(&self, gateways: f64) -> (f64, f64) {
-        let own = self.own_rate.max(FOOT * self.rate / gateways);
-        let all = own + self.peer_rate;
-        ((self.rate / all).min(1.0), own / all)
-    }
-}
-
 /// The decision module of one gateway.
 pub struct Balancer {
     pub(crate) set: Settings,
@@ -133,9 +125,8 @@
     members: Membership,
     /// Weight of a replica of another zone as a home, against one of the own.
     far_weight: f64,
-    /// Homes by key, each as of a list; how many lists there were.
-    homes: FxHashMap<u64, (u64, Rc<[usize]>)>,
-    lists: u64,
+    /// Those of them that are taken for cold.
+    cold: Members,
     /// What a pick looks at; here so that none allocates.
     found: Vec<(usize, f64)>,
     /// Where sessions' last answers began.
@@ -184,9 +175,8 @@
             index: FxHashMap::default(),
             members: Membership::default(),
             far_weight: (-set.cross_zone_price / CROSS_SCALE).exp().max(1e-6),
-            homes: FxHashMap::default(),
-            lists: 0,
-            found: Vec::with_capacity(MOST_HOMES + SAMPLED * 2 + 1),
+            cold: Members::default(),
+            found: Vec::with_capacity(MOST_HOMES + SAMPLED * 2 + COLD_SEEN + 1),
             sessions: Sessions::default(),
             open: FxHashMap::default(),
             buckets,
@@ -195,7 +185,7 @@
             prefixes: FxHashMap::default(),
             retry_budget: RETRY_MOST,
             watch: Watch::default(),
-            fleet: Fleet { strain: OVERLOADED, mean_unread: MEAN_UNREAD, ..Fleet::default() },
+            fleet: Fleet::begin(OVERLOADED),
             checks: BinaryHeap::new(),
             set,
         })
@@ -286,13 +276,23 @@
                 }
             }
         }
-        self.lists += 1;
+        self.members.listed();
     }
 
     /// The list's word on a replica.
     fn enlist(&mut self, i: usize, row: ReplicaRow) {
         let was = std::mem::replace(&mut self.replicas[i].row, row);
         self.members.told(i, &was, &self.replicas[i].row, self.set.zone);
+        self.note_cold(i);
+    }
+
+    /// Keeps the cold apart: those that are ready and taken for cold. Rule 3: no others.
+    fn note_cold(&mut self, i: usize) {
+        let r = &self.replicas[i];
+        match r.row.state == ReplicaState::Ready && r.cold_from.is_some() {
+            true => self.cold.add(i),
+            false => self.cold.remove(i),
+        };
     }
 
     /// A place for a new replica: that of one gone for good, or one more.
@@ -308,7 +308,8 @@
 
     /// A replica is new or has started again: nothing known of it holds any longer.
     fn reset(&mut self, now: Nanos, i: usize) {
-        let credit = self.rng.f64();
+        // Spread over what a request costs: the first of all gateways come at the pace of later ones.
+        let credit = 1.0 - self.rng.f64() * self.cold_cost(self.fleet.mean_prompt);
         let (cold, peak) = (self.set.cold, self.fleet.peak);
         let r = &mut self.replicas[i];
         (r.wait, r.sampled_at, r.pace) = (peak, 0, Pace::default());
@@ -317,6 +318,7 @@
         let start = r.row.last_start;
         r.cold_from = (start > 0 && now < start.saturating_add(cold)).then_some(start);
         (r.cold_credit, r.cold_at) = (credit, now);
+        self.note_cold(i);
     }
 
     fn on_watch(&mut self, now: Nanos, out: &mut Vec<Action>) {
@@ -404,9 +406,7 @@
         out.push(Action::WakeAt { at: now + self.period, token: TICK });
         let dt = now.saturating_sub(self.last_tick).max(1) as f64 / SECOND as f64;
         self.last_tick = now;
-        let rate = f64::from(self.fleet.sends) / dt;
-        self.fleet.sends = 0;
-        self.fleet.flow += RATE_WEIGHT * (rate - self.fleet.flow);
+        self.fleet.note_flow(dt);
         let mut counts = Vec::new();
         let silent = SILENT_PERIODS * self.period as f64;
         for t in 0..self.buckets.len() {
@@ -489,6 +489,7 @@
     fn note_prefix(&mut self, now: Nanos, r: &Request) {
         // The share of each beginning in the traffic, over some seconds, decides how many homes it gets.
         self.fleet.traffic.hit(now);
+        self.fleet.mean_prompt += FLEET_WEIGHT * (f64::from(r.prompt_tokens) - self.fleet.mean_prompt);
         let Some(p) = r.prefix else { return };
         if self.prefixes.len() > MOST_KEYS {
             self.prefixes.clear();
@@ -496,29 +497,6 @@
         self.prefixes.entry(p).or_default().hit(now);
     }
 
-    /// The homes of a prompt's beginning, first the likeliest: the ready replicas by rendezvous hash, which
-    /// gateways agree on without a word. Other zones' replicas weigh less the dearer crossing is; so a zone
-    /// with few replicas has more of its homes elsewhere, and its own are not overrun.
-    fn homes_of(&mut self, key: u64) -> Rc<[usize]> {
-        if self.homes.len() > MOST_KEYS {
-            self.homes.clear();
-        }
-        let (replicas, zone, far) = (&self.replicas, self.set.zone, self.far_weight);
-        let (as_of, homes) = self.homes.entry(key).or_default();
-        if *as_of != self.lists {
-            let mut ranked: Vec<(f64, u64, usize)> = Vec::with_capacity(membership::SCANNED);
-            self.members.about(mix(key, 0), |i| {
-                let row = &replicas[i].row;
-                let race = unit_race(mix(key, row.replica.0)) / if row.zone == zone { 1.0 } else { far };
-                ranked.push((race, row.replica.0, i));
-            });
-            ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            ranked.truncate(MOST_HOMES);
-            (*as_of, *homes) = (self.lists, ranked.into_iter().map(|(_, _, i)| i).collect());
-        }
-        homes.clone()
-    }
-
     fn pick(&mut self, now: Nanos, open: &Open) -> Option<Pick> {
         if self.members.ready.all().is_empty() {
             return None;
@@ -540,7 +518,7 @@
             let parts = (spread / MOST_HOMES as f64).max(1.0).log2().ceil().exp2();
             let key = if parts > 1.0 { mix(key, mix(session, 0) % parts as u64) } else { key };
             let spread = (spread / parts).clamp(LEAST_HOMES, MOST_HOMES as f64);
-            let homes = self.homes_of(key);
+            let homes = self.members.homes(key, self.set.zone, self.far_weight, |i| &self.replicas[i].row);
             // Among the homes a session has one of its own, drawn by weighted rendezvous: gateways whose
             // views of the beginning's share differ a little still agree for most sessions. In mixed fleets,
             // kinds of machines seen to be fast weigh more.
@@ -580,6 +558,15 @@
                 found.push((i, prompt - prefix * self.fleet.stray_kept));
             }
         }
+        // Few requests would draw a cold replica while there is credit for it, and with many gateways each
+        // has little: so those with credit are all looked at.
+        let cold = self.cold.all();
+        let first = if cold.is_empty() { 0 } else { self.rng.usize(..cold.len()) };
+        for &i in cold[first..].iter().chain(&cold[..first]).take(COLD_SEEN) {
+            if !found.iter().any(|f| f.0 == i) {
+                found.push((i, prompt - prefix * self.fleet.stray_kept));
+            }
+        }
         let crowded = self.fleet.ejected as f64 > EJECT_SHARE * self.members.ready.all().len() as f64;
         let mut chosen: Option<(f64, Pick)> = None;
         for &(i, unread) in &found {
@@ -588,7 +575,7 @@
                 Some(from) if i != known => kept::refilling(unread, prompt, now.saturating_sub(from)),
                 _ => unread,
             };
-            if !self.eligible(now, i, unread, open, crowded) {
+            if !self.eligible(now, i, open, crowded) {
                 continue;
             }
             let c = &self.replicas[i];
@@ -598,6 +585,14 @@
             let smoothed = self.smoothed(now, c) / crowd.max(1.0);
             let base = smoothed * f64::from(1 + c.open);
             let read = (unread + backlog) * per_token / self.fleet.speed(c.row.kind);
+            // What waits at the others does not wait at one that has just started: it is sent less than it
+            // can do.
+            let queue = match (c.cold_from, c.sampled_at) {
+                (None, _) => self.fleet.wait,
+                (Some(_), 0) => 0.0,
+                (Some(_), _) => smoothed,
+            };
+            let queued = estimate::queued(queue, aim);
             // What has waited longest without a token tells the least that the next one may wait.
             let oldest = c.waiting.first().map_or(0.0, |&t| now.saturating_sub(t) as f64);
             let far = c.row.zone != self.set.zone;
@@ -605,7 +600,7 @@
             let wait = (base + read).max(oldest);
             // Ranked by what is believed, admitted by what was sampled: the first compares replicas,
             // the second asks whether there is time.
-            let rank = estimate::ranked(smoothed, aim, c.open) + read + cross;
+            let rank = estimate::ranked(smoothed, aim, c.open) + read + cross + queued;
             let pick = Pick { replica: i, unread, wait };
             // Ties are broken at random.
             let rank = rank * (1.0 + 1e-6 * self.rng.f64());
@@ -618,7 +613,7 @@
     }
 
     /// Whether an attempt of this request may go to a replica now.
-    fn eligible(&self, now: Nanos, i: usize, unread: f64, open: &Open, crowded: bool) -> bool {
+    fn eligible(&self, now: Nanos, i: usize, open: &Open, crowded: bool) -> bool {
         let r = &self.replicas[i];
         if open.attempts.iter().any(|a| a.row.replica == r.row.replica) {
             return false;
@@ -631,9 +626,7 @@
         }
         // Rule 4.
         match r.cold_from {
-            Some(from) if now < from.saturating_add(self.set.cold) => {
-                self.cold_credit(now, r, from) >= self.cold_cost(unread)
-            }
+            Some(from) if now < from.saturating_add(self.set.cold) => self.cold_credit(now, r, from) >= 1.0,
             _ => true,
         }
     }
@@ -674,8 +667,9 @@
 
     /// Rule 4: this gateway sends a cold replica at most `COLD_FLOW` times its own mean flow per replica,
     /// times the warm share and the speed of its kind. N gateways doing so sum to that of the fleet, however
-    /// uneven they are. The random first credit guards against all gateways sending their first request at
-    /// once.
+    /// uneven they are. A credit of one lets a request go, whatever it costs; what it costs beyond is owed.
+    /// Were it to be saved first, gateways with a small part of the traffic would send nothing for as long as
+    /// the replica is cold. The random first credit guards against all sending their first at once.
     fn cold_credit(&self, now: Nanos, r: &Replica, from: Nanos) -> f64 {
         let share = estimate::warmth(now.saturating_sub(from), self.set.cold, self.set.cold_share);
         let share = share * self.fleet.speed(r.row.kind);
@@ -719,6 +713,7 @@
             (r.cold_credit, r.cold_at) = (credit, now);
             if over {
                 r.cold_from = None;
+                self.note_cold(i);
             }
         }
         let r = &mut self.replicas[i];
@@ -778,7 +773,9 @@
         let calm = self.fleet.strain < HEDGE_STRAIN && self.retry_budget >= 1.0 && !young;
         let Some(o) = self.open.get(&id).filter(|o| calm && !o.answered && !o.started) else { return };
         let left = self.aim(&o.request) - now.saturating_sub(o.arrived) as f64;
-        if o.attempts.iter().filter(|a| a.outcome.is_none()).count() != 1 {
+        let out_now = o.attempts.iter().filter(|a| a.outcome.is_none()).count();
+        // Attempts since the one that this look was set for may have used up the limit.
+        if out_now != 1 || o.attempts.len() as u32 >= self.set.try_limit {
             return;
         }
         let Some(o) = self.open.remove(&id) else { return };
@@ -848,7 +845,7 @@
             self.sessions.note(now, session.0, &a.row, o.request.prompt_tokens);
         }
         self.replicas[i].unwait(sent);
-        self.fleet.strain += FLEET_WEIGHT * (taken - self.fleet.strain);
+        self.fleet.note_taken(now, taken);
         if life != self.replicas[i].row.last_start {
             return; // An earlier life's answer tells nothing of this one.
         }
@@ -865,9 +862,7 @@
         r.wait = if fresh { wait } else { base + WAIT_WEIGHT * (wait - base) };
         r.crowd = if fresh { crowd } else { r.crowd + WAIT_WEIGHT * (crowd - r.crowd) };
         r.sampled_at = now;
-        let step = if self.fleet.wait == 0.0 { 1.0 } else { FLEET_WEIGHT };
-        self.fleet.wait += step * (wait - self.fleet.wait);
-        self.fleet.crowd += step * (crowd - self.fleet.crowd);
+        self.fleet.note_wait(now, wait, crowd);
     }
 
     fn on_ended(&mut self, now: Nanos, e: Ended, out: &mut Vec<Action>) {
@@ -977,7 +972,9 @@
             // Back after silence: perhaps started anew, perhaps not. Treated as cold from now on.
             r.cold_from = Some(now);
             (r.cold_credit, r.cold_at) = (0.0, now);
+            self.note_cold(i);
         }
+        let r = &mut self.replicas[i];
         (r.fails, r.ejected_until, r.eject_for) = (0, 0, EJECT.0);
     }
 
--- a/src/estimate.rs
+++ b/src/estimate.rs
@@ -34,6 +34,12 @@
     believed(smoothed, aim) * (1.0 + f64::from(open))
 }
 
+/// What a wait of so many ns is beyond the prior: what queues there now. It is not shrunk, so it has to come from
+/// many samples, or be the same for all that are compared by it.
+pub fn queued(wait: f64, aim: f64) -> f64 {
+    (wait - PRIOR * aim).max(0.0)
+}
+
 // ---- The pace of streams, apart from the wait before them ----
 
 /// Evidence on a replica's pace loses half of its weight in this time, ns: a slow spell is over for the estimate
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -8,8 +8,11 @@
 //! average over the arcs of as many, and not its own arc alone.
 
 use crate::api::{ReplicaRow, ReplicaState, ZoneId};
-use crate::stats::mix;
+use crate::choice::{MOST_HOMES, MOST_KEYS};
+use crate::stats::{mix, unit_race};
+use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// The most ready replicas among which holders are found by a look at each. At 256 that takes 2 us.
 pub const SCANNED: usize = 256;
@@ -64,6 +67,9 @@
     pub near: Members,
     /// Of another zone, point, place.
     ring: BTreeSet<(bool, u64, usize)>,
+    /// Homes by key, each as of a list; how many lists there were.
+    homes: FxHashMap<u64, (u64, Rc<[usize]>)>,
+    lists: u64,
     /// Those that are gone and have left their place, free once their last streams have ended.
     gone: Vec<usize>,
 }
@@ -86,6 +92,40 @@
         }
     }
 
+    /// A list has been taken whole: homes are found anew.
+    pub fn listed(&mut self) {
+        self.lists += 1;
+    }
+
+    /// The homes of a prompt's beginning, first the likeliest: the ready replicas by rendezvous hash, which gateways
+    /// agree on without a word. Other zones' replicas weigh `far`, the less the dearer crossing is; so a zone with few
+    /// replicas has more of its homes elsewhere, and its own are not overrun.
+    pub fn homes<'a>(
+        &mut self,
+        key: u64,
+        own: ZoneId,
+        far: f64,
+        row: impl Fn(usize) -> &'a ReplicaRow,
+    ) -> Rc<[usize]> {
+        if self.homes.len() > MOST_KEYS {
+            self.homes.clear();
+        }
+        if let Some((_, homes)) = self.homes.get(&key).filter(|(as_of, _)| *as_of == self.lists) {
+            return homes.clone();
+        }
+        let mut ranked: Vec<(f64, u64, usize)> = Vec::with_capacity(SCANNED);
+        self.about(mix(key, 0), |i| {
+            let row = row(i);
+            let race = unit_race(mix(key, row.replica.0)) / if row.zone == own { 1.0 } else { far };
+            ranked.push((race, row.replica.0, i));
+        });
+        ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        ranked.truncate(MOST_HOMES);
+        let homes: Rc<[usize]> = ranked.into_iter().map(|(_, _, i)| i).collect();
+        self.homes.insert(key, (self.lists, homes.clone()));
+        homes
+    }
+
     /// The place of one that is gone, if it is free.
     pub fn take_gone(&mut self, free: impl Fn(usize) -> bool) -> Option<usize> {
         let at = self.gone.iter().rposition(|&i| free(i))?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,12 +1,16 @@
 //! What `choice.rs` remembers of replicas, requests and tenants.
 
 use crate::api::*;
-use crate::choice::{MOST_KINDS, PACE_WEIGHT};
+use crate::choice::{FLEET_HALF_S, FLEET_WEIGHT, FOOT, MOST_KINDS, PACE_WEIGHT, RATE_WEIGHT};
 use crate::estimate::Pace;
 use crate::kept::Holder;
 use crate::stats::{Fit, Recent};
 use smallvec::SmallVec;
 
+/// Unread tokens of a mean request, and all tokens of a mean prompt, before any says otherwise.
+const MEAN_UNREAD: f64 = 1000.0;
+const MEAN_PROMPT: f64 = 2000.0;
+
 #[derive(Default)]
 pub(crate) struct Replica {
     pub(crate) row: ReplicaRow,
@@ -101,6 +105,16 @@
     pub(crate) peers: Vec<PeerRate>,
 }
 
+impl Bucket {
+    /// The part of the peers' forecast that drains here, and this gateway's share of the tenant's hits.
+    /// A gateway that has served nothing lately keeps a foot in the door.
+    pub(crate) fn split(&self, gateways: f64) -> (f64, f64) {
+        let own = self.own_rate.max(FOOT * self.rate / gateways);
+        let all = own + self.peer_rate;
+        ((self.rate / all).min(1.0), own / all)
+    }
+}
+
 #[derive(Clone, Copy)]
 pub(crate) struct Pick {
     pub(crate) replica: usize,
@@ -130,13 +144,19 @@
     /// Attempts since the last tick, and their smoothed rate per second.
     pub(crate) sends: u32,
     pub(crate) flow: f64,
+    ticks: u32,
     /// Smoothed wait of all replicas, and the highest of any.
     pub(crate) wait: f64,
     pub(crate) peak: f64,
     pub(crate) crowd: f64,
     /// Smoothed first-token time as a share of the aim.
     pub(crate) strain: f64,
+    /// When it was last sampled, and when the strain was.
+    sampled_at: Nanos,
+    strained_at: Nanos,
     pub(crate) mean_unread: f64,
+    /// Tokens of a prompt, read or not.
+    pub(crate) mean_prompt: f64,
     /// Share of their beginning that prompts find kept away from its homes.
     pub(crate) stray_kept: f64,
     pub(crate) fit: Fit,
@@ -148,7 +168,42 @@
     pub(crate) mean_pace: f64,
 }
 
+/// The weight of a sample, as of now, after another at `last`: of its time, as samples may be few, but not under the
+/// least. A gateway that has one in a second would else need a minute to see what all the others see at once.
+fn weight(now: Nanos, last: &mut Nanos) -> f64 {
+    let dt = now.saturating_sub(std::mem::replace(last, now)) as f64 / SECOND as f64;
+    (1.0 - (-dt / FLEET_HALF_S).exp2()).max(FLEET_WEIGHT)
+}
+
 impl Fleet {
+    /// Of a gateway that has just started, before any sample.
+    pub(crate) fn begin(strain: f64) -> Fleet {
+        Fleet { strain, mean_unread: MEAN_UNREAD, mean_prompt: MEAN_PROMPT, ..Fleet::default() }
+    }
+
+    /// A first token's wait without the reading of its prompt, ns, in so large a crowd.
+    pub(crate) fn note_wait(&mut self, now: Nanos, wait: f64, crowd: f64) {
+        let weight = weight(now, &mut self.sampled_at);
+        let weight = if self.wait == 0.0 { 1.0 } else { weight };
+        self.wait += weight * (wait - self.wait);
+        self.crowd += weight * (crowd - self.crowd);
+    }
+
+    /// A first token came after so many aims.
+    pub(crate) fn note_taken(&mut self, now: Nanos, aims: f64) {
+        let weight = weight(now, &mut self.strained_at);
+        self.strain += weight * (aims - self.strain);
+    }
+
+    /// `dt` seconds have gone by since this was called last. The mean of all ticks while they are few: begun at zero,
+    /// the flow of a gateway that has just started would be too low for several periods, and where all have, the
+    /// replicas that start with them would be left idle.
+    pub(crate) fn note_flow(&mut self, dt: f64) {
+        let rate = f64::from(std::mem::take(&mut self.sends)) / dt;
+        self.ticks = self.ticks.saturating_add(1);
+        self.flow += RATE_WEIGHT.max(1.0 / f64::from(self.ticks)) * (rate - self.flow);
+    }
+
     pub(crate) fn note_pace(&mut self, kind: usize, seconds: f64) {
         if kind < MOST_KINDS && self.pace.len() <= kind {
             self.pace.resize(kind + 1, 0.0);
@@ -174,3 +229,39 @@
     pub(crate) fails: u32,
     pub(crate) at: Nanos,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// After so many samples a second each, of 1 where there was nothing: what the gateway believes.
+    fn believed(samples: u64, per_s: u64) -> (f64, f64) {
+        let mut fleet = Fleet::begin(0.0);
+        fleet.note_wait(SECOND, 1e-9, 1.0);
+        fleet.note_taken(SECOND, 0.0);
+        for k in 1..=samples {
+            let now = SECOND + k * SECOND / per_s;
+            fleet.note_wait(now, 1.0, 1.0);
+            fleet.note_taken(now, 1.0);
+        }
+        (fleet.wait, fleet.strain)
+    }
+
+    #[test]
+    fn what_all_see_is_believed_after_its_time_however_few_the_samples() {
+        let (wait, strain) = believed(5, 1);
+        assert!(wait > 0.6 && strain > 0.6, "{wait:.2} and {strain:.2} after 5 samples in 5 s");
+        let (wait, strain) = believed(5, 100);
+        assert!(wait < 0.25 && strain < 0.25, "five in a moment may be chance: {wait:.2}, {strain:.2}");
+    }
+
+    #[test]
+    fn the_flow_of_the_first_ticks_is_their_mean() {
+        let mut fleet = Fleet::begin(0.0);
+        for _ in 0..3 {
+            fleet.sends = 10;
+            fleet.note_flow(5.0);
+            assert!((fleet.flow - 2.0).abs() < 1e-9, "{}", fleet.flow);
+        }
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,83 @@
+//! Many gateways before one fleet, each with a small part of the traffic: what all of them do together.
+
+mod common;
+
+use common::*;
+use tallypin::api::*;
+
+const GATEWAYS: u32 = 100;
+const REPLICAS: u64 = 20;
+
+/// Gateways that each take a request a second, and what became of the requests.
+struct Fleet {
+    gateways: Vec<World>,
+    next: u64,
+    /// Sends per replica since last asked.
+    sends: Vec<u64>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let set = |g| Settings { cross_zone_price: 0.0, ..settings(GATEWAYS, g) };
+        let gateways = (0..GATEWAYS).map(|g| World::with_replicas(set(g), u64::from(g), REPLICAS)).collect();
+        Fleet { gateways, next: 0, sends: vec![0; REPLICAS as usize] }
+    }
+
+    /// Plays so many milliseconds; the first token of replica `r` takes `first(r)`, and its stream half a second.
+    fn play(&mut self, ms: u64, first: impl Fn(u64) -> Nanos) {
+        let from = self.gateways[0].now;
+        let mut due: Vec<(Nanos, usize, RequestId, bool)> = Vec::new();
+        for t in (0..ms).step_by(10) {
+            let now = from + t * MS;
+            due.sort_unstable();
+            let (ripe, rest): (Vec<_>, Vec<_>) = due.into_iter().partition(|d| d.0 <= now);
+            due = rest;
+            for (_, g, id, begun) in ripe {
+                let w = &mut self.gateways[g];
+                w.run_to(now);
+                match begun {
+                    true => drop(w.end(id, 0, Outcome::Done)),
+                    false => {
+                        w.first(id, 0);
+                        due.push((now + SECOND / 2, g, id, true));
+                    }
+                }
+            }
+            let g = (t / 10 % u64::from(GATEWAYS)) as usize;
+            self.next += 1;
+            let w = &mut self.gateways[g];
+            w.run_to(now);
+            let asked = Request { prompt_tokens: 3000, prefix_tokens: 2000, ..request(self.next) };
+            if let Some(to) = World::sent_to(&w.demand(asked)) {
+                self.sends[to.0 as usize] += 1;
+                due.push((now + first(to.0), g, RequestId(self.next), false));
+            }
+        }
+        self.gateways.iter_mut().for_each(|w| drop(w.run_to(from + ms * MS)));
+    }
+
+    fn tell(&mut self, rows: &[ReplicaRow]) {
+        self.gateways.iter_mut().for_each(|w| drop(w.list(ListKind::Delta, rows.to_vec())));
+        self.sends.fill(0);
+    }
+}
+
+/// Before the list told of them, half of the replicas started anew, and the others run over. Each gateway has a
+/// request a second and a hundredth of what a cold replica may get.
+#[test]
+fn gateways_with_little_traffic_use_what_cold_replicas_may_get() {
+    let mut fleet = Fleet::new();
+    fleet.play(12_000, |_| SECOND / 20);
+    let now = fleet.gateways[0].now;
+    let half: Vec<_> = (0..REPLICAS / 2).map(|n| ReplicaRow { last_start: now - SECOND, ..row(n) }).collect();
+    fleet.tell(&half);
+    fleet.play(4_000, |r| if r < REPLICAS / 2 { SECOND / 5 } else { SECOND });
+    let cold: u64 = fleet.sends[..REPLICAS as usize / 2].iter().sum();
+    let all: u64 = fleet.sends.iter().sum();
+    // Twice the mean flow times the warm share, which goes from 0.28 to 0.6, and a request costs from one to two.
+    let most = all as f64 / 2.0 * 2.0 * 0.44;
+    let least = most / 3.0;
+    assert!((least..most).contains(&(cold as f64)), "{cold} of {all}, wanted {least:.0} to {most:.0}");
+    let busiest = *fleet.sends[..REPLICAS as usize / 2].iter().max().expect("there are some");
+    assert!((busiest as f64) < most / 10.0 * 2.0, "one of them got {busiest}: {:?}", fleet.sends);
+}
