Save for what a cold node's request costs, up to two mean ones; count a node's own short queue

Change: what a request costs is saved for again, up to two mean requests, and first credits start so that a mean request can go at once somewhere in the fleet; a warm node ranks with the lesser of the fleet's queue and its own.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,6 +105,9 @@
 /// the mean leaves room; the rule allows 2.5 times the capacity, of which the mean flow is a part.
 const COLD_FLOW: f64 = 2.0;
 
+/// The most credit saved for a cold replica, in mean requests. What costs more goes, and the rest is owed.
+const MOST_CREDIT: f64 = 2.0;
+
 /// The most cold replicas that a pick looks at.
 const COLD_SEEN: usize = 64;
 
@@ -308,8 +311,8 @@
 
     /// A replica is new or has started again: nothing known of it holds any longer.
     fn reset(&mut self, now: Nanos, i: usize) {
-        // Spread over what a request costs: the first of all gateways come at the pace of later ones.
-        let credit = 1.0 - self.rng.f64() * self.cold_cost(self.fleet.mean_prompt);
+        let cost = self.cold_cost(self.fleet.mean_prompt);
+        let credit = cost.min(MOST_CREDIT) - self.rng.f64() * cost;
         let (cold, peak) = (self.set.cold, self.fleet.peak);
         let r = &mut self.replicas[i];
         (r.wait, r.sampled_at, r.pace) = (peak, 0, Pace::default());
@@ -575,7 +578,7 @@
                 Some(from) if i != known => kept::refilling(unread, prompt, now.saturating_sub(from)),
                 _ => unread,
             };
-            if !self.eligible(now, i, open, crowded) {
+            if !self.eligible(now, i, unread, open, crowded) {
                 continue;
             }
             let c = &self.replicas[i];
@@ -585,10 +588,9 @@
             let smoothed = self.smoothed(now, c) / crowd.max(1.0);
             let base = smoothed * f64::from(1 + c.open);
             let read = (unread + backlog) * per_token / self.fleet.speed(c.row.kind);
-            // What waits at the others does not wait at one that has just started: it is sent less than it
-            // can do.
+            // What queues everywhere does not queue at one just started: it is sent less than it can do.
             let queue = match (c.cold_from, c.sampled_at) {
-                (None, _) => self.fleet.wait,
+                (None, _) => self.fleet.wait.min(smoothed),
                 (Some(_), 0) => 0.0,
                 (Some(_), _) => smoothed,
             };
@@ -613,7 +615,7 @@
     }
 
     /// Whether an attempt of this request may go to a replica now.
-    fn eligible(&self, now: Nanos, i: usize, open: &Open, crowded: bool) -> bool {
+    fn eligible(&self, now: Nanos, i: usize, unread: f64, open: &Open, crowded: bool) -> bool {
         let r = &self.replicas[i];
         if open.attempts.iter().any(|a| a.row.replica == r.row.replica) {
             return false;
@@ -626,7 +628,9 @@
         }
         // Rule 4.
         match r.cold_from {
-            Some(from) if now < from.saturating_add(self.set.cold) => self.cold_credit(now, r, from) >= 1.0,
+            Some(from) if now < from.saturating_add(self.set.cold) => {
+                self.cold_credit(now, r, from) >= self.cold_cost(unread).min(MOST_CREDIT)
+            }
             _ => true,
         }
     }
@@ -667,15 +671,14 @@
 
     /// Rule 4: this gateway sends a cold replica at most `COLD_FLOW` times its own mean flow per replica,
     /// times the warm share and the speed of its kind. N gateways doing so sum to that of the fleet, however
-    /// uneven they are. A credit of one lets a request go, whatever it costs; what it costs beyond is owed.
-    /// Were it to be saved first, gateways with a small part of the traffic would send nothing for as long as
-    /// the replica is cold. The random first credit guards against all sending their first at once.
+    /// uneven they are. The first credit falls short of a mean request by up to all of it: guards against all
+    /// gateways sending their first at once, and against none sending any for as long as it takes to save it.
     fn cold_credit(&self, now: Nanos, r: &Replica, from: Nanos) -> f64 {
         let share = estimate::warmth(now.saturating_sub(from), self.set.cold, self.set.cold_share);
         let share = share * self.fleet.speed(r.row.kind);
         let flow = self.fleet.flow / self.members.ready.all().len().max(1) as f64;
         let dt = now.saturating_sub(r.cold_at) as f64 / SECOND as f64;
-        (r.cold_credit + dt * flow * share * COLD_FLOW).min(2.0)
+        (r.cold_credit + dt * flow * share * COLD_FLOW).min(MOST_CREDIT)
     }
 
     // ---- Attempts ----
