Know the own flow from the start on: restarted routers give new nodes their part at once

Cause: src/state.rs, Fleet::note_flow, called once a report period (5 s with 100 routers, the first 2.5 to 7.5 s after the start): until then the flow, and so what cold nodes may get, is zero.

Change: before the first tick the flow is what was sent since the start, over at least a second.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -673,7 +673,8 @@
     fn cold_credit(&self, now: Nanos, r: &Replica, from: Nanos) -> f64 {
         let share = estimate::warmth(now.saturating_sub(from), self.set.cold, self.set.cold_share);
         let share = share * self.fleet.speed(r.row.kind);
-        let flow = self.fleet.flow / self.members.ready.all().len().max(1) as f64;
+        let flow = self.fleet.flow(now.saturating_sub(self.last_tick))
+            / self.members.ready.all().len().max(1) as f64;
         let dt = now.saturating_sub(r.cold_at) as f64 / SECOND as f64;
         (r.cold_credit + dt * flow * share * COLD_FLOW).min(MOST_CREDIT)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,7 +143,7 @@
 pub(crate) struct Fleet {
     /// Attempts since the last tick, and their smoothed rate per second.
     pub(crate) sends: u32,
-    pub(crate) flow: f64,
+    flow: f64,
     ticks: u32,
     /// Smoothed wait of all replicas, and the highest of any.
     pub(crate) wait: f64,
@@ -195,6 +195,15 @@
         self.strain += weight * (aims - self.strain);
     }
 
+    /// Own attempts a second, `since` ns after the last tick. Before the first one it is the mean since the start: a
+    /// fleet of gateways that has just restarted would else leave the replicas idle that start with it.
+    pub(crate) fn flow(&self, since: Nanos) -> f64 {
+        match self.ticks {
+            0 => f64::from(self.sends) / (since as f64 / SECOND as f64).max(1.0),
+            _ => self.flow,
+        }
+    }
+
     /// `dt` seconds have gone by since this was called last. The mean of all ticks while they are few: begun at zero,
     /// the flow of a gateway that has just started would be too low for several periods, and where all have, the
     /// replicas that start with them would be left idle.
@@ -256,12 +265,17 @@
     }
 
     #[test]
-    fn the_flow_of_the_first_ticks_is_their_mean() {
+    fn the_flow_is_known_from_the_start_and_the_first_ticks_are_averaged() {
         let mut fleet = Fleet::begin(0.0);
         for _ in 0..3 {
             fleet.sends = 10;
+            let flow = fleet.flow(5 * SECOND);
+            assert!((flow - 2.0).abs() < 1e-9, "{flow} before the tick");
             fleet.note_flow(5.0);
-            assert!((fleet.flow - 2.0).abs() < 1e-9, "{}", fleet.flow);
+            let flow = fleet.flow(0);
+            assert!((flow - 2.0).abs() < 1e-9, "{flow} after it");
         }
+        fleet.sends = 1000;
+        assert!((fleet.flow(SECOND) - 2.0).abs() < 1e-9, "a burst counts from the next tick on");
     }
 }
