Test that a beginning wanted by all routers pushes no cold home over

Need: with 100 routers a hot beginning has the same homes at each, so rule 4 has to hold where all of them want the same cold node, not only on the average.

Change: a test of 100 gateways whose requests share one beginning, half of the nodes just started; in each of four windows of 2 s the busiest cold one stays under what rule 4 allows.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -12,6 +12,8 @@
 struct Fleet {
     gateways: Vec<World>,
     next: u64,
+    /// Beginnings that the requests share.
+    beginnings: u64,
     /// Sends per replica since last asked.
     sends: Vec<u64>,
 }
@@ -20,7 +22,7 @@
     fn new() -> Fleet {
         let set = |g| Settings { cross_zone_price: 0.0, ..settings(GATEWAYS, g) };
         let gateways = (0..GATEWAYS).map(|g| World::with_replicas(set(g), u64::from(g), REPLICAS)).collect();
-        Fleet { gateways, next: 0, sends: vec![0; REPLICAS as usize] }
+        Fleet { gateways, next: 0, beginnings: 5, sends: vec![0; REPLICAS as usize] }
     }
 
     /// Plays so many milliseconds; the first token of replica `r` takes `first(r)`, and its stream half a second.
@@ -47,7 +49,8 @@
             self.next += 1;
             let w = &mut self.gateways[g];
             w.run_to(now);
-            let asked = Request { prompt_tokens: 3000, prefix_tokens: 2000, ..request(self.next) };
+            let prefix = Some(PrefixKey(self.next % self.beginnings + 1));
+            let asked = Request { prompt_tokens: 3000, prefix_tokens: 2000, prefix, ..request(self.next) };
             if let Some(to) = World::sent_to(&w.demand(asked)) {
                 self.sends[to.0 as usize] += 1;
                 due.push((now + first(to.0), g, RequestId(self.next), false));
@@ -102,3 +105,24 @@
         fleet.sends
     );
 }
+
+/// One beginning draws all the traffic, so that every gateway has the same homes: those that are cold among them get no
+/// more than their budget all the same (rule 4).
+#[test]
+fn a_beginning_that_all_gateways_want_pushes_no_cold_home_over() {
+    let mut fleet = Fleet { beginnings: 1, ..Fleet::new() };
+    fleet.play(12_000, |_| SECOND / 20);
+    fleet.play(4_000, |_| SECOND);
+    let now = fleet.gateways[0].now;
+    let half: Vec<_> = (0..REPLICAS / 2).map(|n| ReplicaRow { last_start: now - SECOND, ..row(n) }).collect();
+    fleet.tell(&half);
+    for second in 0..4 {
+        fleet.sends.fill(0);
+        fleet.play(2_000, |r| if r < REPLICAS / 2 { SECOND / 5 } else { SECOND });
+        // What a node can do, of which the mean flow is half, times its warm share and what rule 4 allows.
+        let warm = 0.2 + 0.8 * (0.2 + 0.2 * f64::from(second));
+        let most = 2.0 * 10.0 * warm * 2.5;
+        let busiest = *fleet.sends[..REPLICAS as usize / 2].iter().max().expect("there are some");
+        assert!((busiest as f64) < most, "{busiest} of at most {most:.0}: {:?}", fleet.sends);
+    }
+}
