Ask in one place whether a node is cold and how warm it is; bounds of homes beside the homes

Whether a node is within its cold time was worked out in four places and its warmth in two; pick had come to use the view's, of which the view says that nothing is decided by it. The second copy's look for cold nodes went over all nodes though the cold ones now stand apart. Moving the homes had made membership.rs and choice.rs import each other, and choice.rs had to say when a list was over though each row passes through Membership::told.

Change: Balancer::is_cold and warmth, called by all; the second copy looks at the cold ones; homes count rows told; MOST_HOMES and MOST_KEYS stand in membership.rs. Only where a deployment's cold share is 1 does a pick look at more nodes than before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::api::*;
 use crate::estimate::{self, Pace};
 use crate::kept::{self, Sessions};
-use crate::membership::{Members, Membership};
+use crate::membership::{Members, Membership, MOST_HOMES, MOST_KEYS};
 use crate::report;
 use crate::state::*;
 use crate::stats::{mix, unit_race, Recent};
@@ -50,14 +50,10 @@
 const STALE_HALF_S: f64 = 4.0;
 /// Replicas drawn at random for a pick, beside the likely holders of the prompt.
 const SAMPLED: usize = 4;
-/// The most homes (likely holders) of a shared beginning that a pick looks at.
-pub(crate) const MOST_HOMES: usize = 32;
 /// The fewest homes of a beginning, so that one slow home does not hold it up.
 const LEAST_HOMES: f64 = 2.0;
 /// Memory of the traffic's mix, s.
 pub(crate) const RECENT_S: f64 = 20.0;
-/// The most beginnings whose traffic and homes are remembered.
-pub(crate) const MOST_KEYS: usize = 4096;
 /// Homes per replica's worth of a beginning's traffic.
 const HOMES_PER_SHARE: f64 = 5.0;
 /// Tokens read per second before any sample says otherwise.
@@ -279,7 +275,6 @@
                 }
             }
         }
-        self.members.listed();
     }
 
     /// The list's word on a replica.
@@ -567,7 +562,7 @@
         let first = if cold.is_empty() { 0 } else { self.rng.usize(..cold.len()) };
         for &i in cold[first..].iter().chain(&cold[..first]).take(COLD_SEEN) {
             // One that is warm by now is like the others: looked at by every pick, it would run over.
-            if self.warmth(now, &self.replicas[i]) < 1.0 && !found.iter().any(|f| f.0 == i) {
+            if self.is_cold(now, &self.replicas[i]) && !found.iter().any(|f| f.0 == i) {
                 found.push((i, prompt - prefix * self.fleet.stray_kept));
             }
         }
@@ -624,12 +619,7 @@
             return false;
         }
         // Rule 4.
-        match r.cold_from {
-            Some(from) if now < from.saturating_add(self.set.cold) => {
-                self.cold_credit(now, r, from) >= self.cold_cost(unread).min(MOST_CREDIT)
-            }
-            _ => true,
-        }
+        !self.is_cold(now, r) || self.cold_credit(now, r) >= self.cold_cost(unread).min(MOST_CREDIT)
     }
 
     /// Rule 2: an attempt that may have run binds later ones to its group and window, or forbids them.
@@ -661,6 +651,17 @@
         }
     }
 
+    /// Whether a replica is within its cold time.
+    pub(crate) fn is_cold(&self, now: Nanos, r: &Replica) -> bool {
+        r.cold_from.is_some_and(|from| now < from.saturating_add(self.set.cold))
+    }
+
+    /// What a replica is taken to be able to do, as a share of what it can when warm.
+    pub(crate) fn warmth(&self, now: Nanos, r: &Replica) -> f64 {
+        let age = |from| now.saturating_sub(from);
+        r.cold_from.map_or(1.0, |from| estimate::warmth(age(from), self.set.cold, self.set.cold_share))
+    }
+
     /// Work sent to a cold replica, in mean requests: nothing is kept there, so prompts count in full.
     fn cold_cost(&self, unread: f64) -> f64 {
         (0.5 + 0.5 * unread / self.fleet.mean_unread.max(1.0)).max(1.0)
@@ -670,9 +671,8 @@
     /// times the warm share and the speed of its kind. N gateways doing so sum to that of the fleet, however
     /// uneven they are. The first credit falls short of a mean request by up to all of it: guards against all
     /// gateways sending their first at once, and against none sending any for as long as it takes to save it.
-    fn cold_credit(&self, now: Nanos, r: &Replica, from: Nanos) -> f64 {
-        let share = estimate::warmth(now.saturating_sub(from), self.set.cold, self.set.cold_share);
-        let share = share * self.fleet.speed(r.row.kind);
+    fn cold_credit(&self, now: Nanos, r: &Replica) -> f64 {
+        let share = self.warmth(now, r) * self.fleet.speed(r.row.kind);
         let flow = self.fleet.flow(now.saturating_sub(self.last_tick))
             / self.members.ready.all().len().max(1) as f64;
         let dt = now.saturating_sub(r.cold_at) as f64 / SECOND as f64;
@@ -707,15 +707,13 @@
             }
         }
         let i = pick.replica;
-        if let Some(from) = self.replicas[i].cold_from {
-            let credit = self.cold_credit(now, &self.replicas[i], from) - self.cold_cost(pick.unread);
-            let over = now >= from.saturating_add(self.set.cold);
+        if self.is_cold(now, &self.replicas[i]) {
+            let credit = self.cold_credit(now, &self.replicas[i]) - self.cold_cost(pick.unread);
             let r = &mut self.replicas[i];
             (r.cold_credit, r.cold_at) = (credit, now);
-            if over {
-                r.cold_from = None;
-                self.note_cold(i);
-            }
+        } else {
+            self.replicas[i].cold_from = None;
+            self.note_cold(i);
         }
         let r = &mut self.replicas[i];
         let crowd = f64::from(1 + r.open);
@@ -769,8 +767,7 @@
     /// One attempt is out and has not begun where most have: a second copy, if that is likely to be in time.
     fn hedge(&mut self, now: Nanos, id: RequestId, out: &mut Vec<Action>) {
         // Those that have just started are slow by nature, and more work makes them slower.
-        let cold = |from: Nanos| now < from.saturating_add(self.set.cold);
-        let young = self.members.ready.all().iter().any(|&i| self.replicas[i].cold_from.is_some_and(cold));
+        let young = self.cold.all().iter().any(|&i| self.is_cold(now, &self.replicas[i]));
         let calm = self.fleet.strain < HEDGE_STRAIN && self.retry_budget >= 1.0 && !young;
         let Some(o) = self.open.get(&id).filter(|o| calm && !o.answered && !o.started) else { return };
         let left = self.aim(&o.request) - now.saturating_sub(o.arrived) as f64;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -8,7 +8,6 @@
 //! average over the arcs of as many, and not its own arc alone.
 
 use crate::api::{ReplicaRow, ReplicaState, ZoneId};
-use crate::choice::{MOST_HOMES, MOST_KEYS};
 use crate::stats::{mix, unit_race};
 use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
@@ -16,6 +15,10 @@
 
 /// The most ready replicas among which holders are found by a look at each. At 256 that takes 2 us.
 pub const SCANNED: usize = 256;
+/// The most homes (likely holders) of a shared beginning that a pick looks at.
+pub const MOST_HOMES: usize = 32;
+/// The most beginnings whose traffic and homes are remembered.
+pub const MOST_KEYS: usize = 4096;
 /// Those that follow a key on the ring: of the own zone, and of the others.
 const FOLLOWING: usize = 48;
 
@@ -67,9 +70,9 @@
     pub near: Members,
     /// Of another zone, point, place.
     ring: BTreeSet<(bool, u64, usize)>,
-    /// Homes by key, each as of a list; how many lists there were.
+    /// Homes by key, each found when so many rows had been told of; how many there were.
     homes: FxHashMap<u64, (u64, Rc<[usize]>)>,
-    lists: u64,
+    rows_told: u64,
     /// Those that are gone and have left their place, free once their last streams have ended.
     gone: Vec<usize>,
 }
@@ -77,6 +80,7 @@
 impl Membership {
     /// The list's word on the replica at a place changed from one row to another.
     pub fn told(&mut self, place: usize, was: &ReplicaRow, now: &ReplicaRow, own: ZoneId) {
+        self.rows_told += 1;
         // The same at every gateway, so that they agree on who follows a key.
         let point = |row: &ReplicaRow| mix(row.replica.0, 0);
         if was.state == ReplicaState::Ready {
@@ -92,11 +96,6 @@
         }
     }
 
-    /// A list has been taken whole: homes are found anew.
-    pub fn listed(&mut self) {
-        self.lists += 1;
-    }
-
     /// The homes of a prompt's beginning, first the likeliest: the ready replicas by rendezvous hash, which gateways
     /// agree on without a word. Other zones' replicas weigh `far`, the less the dearer crossing is; so a zone with few
     /// replicas has more of its homes elsewhere, and its own are not overrun.
@@ -110,7 +109,7 @@
         if self.homes.len() > MOST_KEYS {
             self.homes.clear();
         }
-        if let Some((_, homes)) = self.homes.get(&key).filter(|(as_of, _)| *as_of == self.lists) {
+        if let Some((_, homes)) = self.homes.get(&key).filter(|(as_of, _)| *as_of == self.rows_told) {
             return homes.clone();
         }
         let mut ranked: Vec<(f64, u64, usize)> = Vec::with_capacity(SCANNED);
@@ -122,7 +121,7 @@
         ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         ranked.truncate(MOST_HOMES);
         let homes: Rc<[usize]> = ranked.into_iter().map(|(_, _, i)| i).collect();
-        self.homes.insert(key, (self.lists, homes.clone()));
+        self.homes.insert(key, (self.rows_told, homes.clone()));
         homes
     }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -2,8 +2,7 @@
 //! decided by it.
 
 use crate::api::{Nanos, ReplicaId, ReplicaState};
-use crate::estimate::{self, Slowness};
-use crate::state::Replica;
+use crate::estimate::Slowness;
 use crate::Balancer;
 
 /// What the module holds of a replica that takes work.
@@ -42,15 +41,10 @@
                 wait: r.wait as Nanos,
                 sampled: (r.sampled_at > 0).then(|| now.saturating_sub(r.sampled_at)),
                 excluded: r.ejected_until.saturating_sub(now),
-                cold: r.cold_from.is_some_and(|from| now < from.saturating_add(self.set.cold)),
+                cold: self.is_cold(now, r),
                 warmth: self.warmth(now, r),
                 pace: r.pace.slowness(now, self.fleet.mean_pace, self.warmth(now, r)),
             })
             .collect()
     }
-
-    pub(crate) fn warmth(&self, now: Nanos, r: &Replica) -> f64 {
-        let age = |from| now.saturating_sub(from);
-        r.cold_from.map_or(1.0, |from| estimate::warmth(age(from), self.set.cold, self.set.cold_share))
-    }
 }
