Let streams of the fleet tests end: what is due outlives one play; one way to start half anew

Need: found on reading the tests again. Each play dropped what was still due, so up to a second and a half of requests stayed open at the gateways for the rest of the test; the same three lines started half of the replicas anew in each test.

Change: what is due stands in the Fleet, half_starts_anew and to_started say the rest once. All assertions and bounds stay as they were.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -14,6 +14,8 @@
     next: u64,
     /// Beginnings that the requests share.
     beginnings: u64,
+    /// First tokens and ends to come: when, at which gateway, of which request, whether it has begun.
+    due: Vec<(Nanos, usize, RequestId, bool)>,
     /// Sends per replica since last asked.
     sends: Vec<u64>,
 }
@@ -22,18 +24,16 @@
     fn new() -> Fleet {
         let set = |g| Settings { cross_zone_price: 0.0, ..settings(GATEWAYS, g) };
         let gateways = (0..GATEWAYS).map(|g| World::with_replicas(set(g), u64::from(g), REPLICAS)).collect();
-        Fleet { gateways, next: 0, beginnings: 5, sends: vec![0; REPLICAS as usize] }
+        Fleet { gateways, next: 0, beginnings: 5, due: vec![], sends: vec![0; REPLICAS as usize] }
     }
 
     /// Plays so many milliseconds; the first token of replica `r` takes `first(r)`, and its stream half a second.
     fn play(&mut self, ms: u64, first: impl Fn(u64) -> Nanos) {
         let from = self.gateways[0].now;
-        let mut due: Vec<(Nanos, usize, RequestId, bool)> = Vec::new();
         for t in (0..ms).step_by(10) {
             let now = from + t * MS;
-            due.sort_unstable();
-            let (ripe, rest): (Vec<_>, Vec<_>) = due.into_iter().partition(|d| d.0 <= now);
-            due = rest;
+            self.due.sort_unstable();
+            let ripe: Vec<_> = self.due.drain(..self.due.partition_point(|d| d.0 <= now)).collect();
             for (_, g, id, begun) in ripe {
                 let w = &mut self.gateways[g];
                 w.run_to(now);
@@ -41,7 +41,7 @@
                     true => drop(w.end(id, 0, Outcome::Done)),
                     false => {
                         w.first(id, 0);
-                        due.push((now + SECOND / 2, g, id, true));
+                        self.due.push((now + SECOND / 2, g, id, true));
                     }
                 }
             }
@@ -53,16 +53,24 @@
             let asked = Request { prompt_tokens: 3000, prefix_tokens: 2000, prefix, ..request(self.next) };
             if let Some(to) = World::sent_to(&w.demand(asked)) {
                 self.sends[to.0 as usize] += 1;
-                due.push((now + first(to.0), g, RequestId(self.next), false));
+                self.due.push((now + first(to.0), g, RequestId(self.next), false));
             }
         }
         self.gateways.iter_mut().for_each(|w| drop(w.run_to(from + ms * MS)));
     }
 
-    fn tell(&mut self, rows: &[ReplicaRow]) {
-        self.gateways.iter_mut().for_each(|w| drop(w.list(ListKind::Delta, rows.to_vec())));
+    /// The first half of the replicas has started anew a second ago, as all gateways are told.
+    fn half_starts_anew(&mut self) {
+        let last_start = self.gateways[0].now - SECOND;
+        let rows: Vec<_> = (0..REPLICAS / 2).map(|n| ReplicaRow { last_start, ..row(n) }).collect();
+        self.gateways.iter_mut().for_each(|w| drop(w.list(ListKind::Delta, rows.clone())));
         self.sends.fill(0);
     }
+
+    /// Sends to each of that half.
+    fn to_started(&self) -> &[u64] {
+        &self.sends[..REPLICAS as usize / 2]
+    }
 }
 
 /// All queue, then half of the replicas have started anew, which idle, and the others run over. Each gateway has a
@@ -72,17 +80,15 @@
     let mut fleet = Fleet::new();
     fleet.play(12_000, |_| SECOND / 20);
     fleet.play(4_000, |_| SECOND);
-    let now = fleet.gateways[0].now;
-    let half: Vec<_> = (0..REPLICAS / 2).map(|n| ReplicaRow { last_start: now - SECOND, ..row(n) }).collect();
-    fleet.tell(&half);
+    fleet.half_starts_anew();
     fleet.play(4_000, |r| if r < REPLICAS / 2 { SECOND / 5 } else { SECOND });
-    let cold: u64 = fleet.sends[..REPLICAS as usize / 2].iter().sum();
+    let cold: u64 = fleet.to_started().iter().sum();
     let all: u64 = fleet.sends.iter().sum();
     // Twice the mean flow times the warm share, which goes from 0.28 to 0.6, and a request costs from one to two.
     let most = all as f64 / 2.0 * 2.0 * 0.44;
     let least = most / 3.0;
     assert!((least..most).contains(&(cold as f64)), "{cold} of {all}, wanted {least:.0} to {most:.0}");
-    let busiest = *fleet.sends[..REPLICAS as usize / 2].iter().max().expect("there are some");
+    let busiest = *fleet.to_started().iter().max().expect("there are some");
     assert!((busiest as f64) < most / 10.0 * 2.0, "one of them got {busiest}: {:?}", fleet.sends);
 }
 
@@ -91,13 +97,11 @@
 fn replicas_that_have_warmed_up_are_not_run_over() {
     let mut fleet = Fleet::new();
     fleet.play(12_000, |_| SECOND);
-    let now = fleet.gateways[0].now;
-    let half: Vec<_> = (0..REPLICAS / 2).map(|n| ReplicaRow { last_start: now - SECOND, ..row(n) }).collect();
-    fleet.tell(&half);
+    fleet.half_starts_anew();
     fleet.play(10_000, |_| SECOND);
     fleet.sends.fill(0);
     fleet.play(6_000, |_| SECOND);
-    let warmed: u64 = fleet.sends[..REPLICAS as usize / 2].iter().sum();
+    let warmed: u64 = fleet.to_started().iter().sum();
     let share = warmed as f64 / fleet.sends.iter().sum::<u64>() as f64;
     assert!(
         (0.35..0.65).contains(&share),
@@ -113,16 +117,14 @@
     let mut fleet = Fleet { beginnings: 1, ..Fleet::new() };
     fleet.play(12_000, |_| SECOND / 20);
     fleet.play(4_000, |_| SECOND);
-    let now = fleet.gateways[0].now;
-    let half: Vec<_> = (0..REPLICAS / 2).map(|n| ReplicaRow { last_start: now - SECOND, ..row(n) }).collect();
-    fleet.tell(&half);
+    fleet.half_starts_anew();
     for second in 0..4 {
         fleet.sends.fill(0);
         fleet.play(2_000, |r| if r < REPLICAS / 2 { SECOND / 5 } else { SECOND });
         // What a node can do, of which the mean flow is half, times its warm share and what rule 4 allows.
         let warm = 0.2 + 0.8 * (0.2 + 0.2 * f64::from(second));
         let most = 2.0 * 10.0 * warm * 2.5;
-        let busiest = *fleet.sends[..REPLICAS as usize / 2].iter().max().expect("there are some");
+        let busiest = *fleet.to_started().iter().max().expect("there are some");
         assert!((busiest as f64) < most, "{busiest} of at most {most:.0}: {:?}", fleet.sends);
     }
 }
