--- a/src/state.rs
+++ b/src/state.rs
@@ -141,7 +141,7 @@
 /// What is smoothed or counted over all replicas.
 #[derive(Default)]
 pub(crate) struct Fleet {
-    /// Attempts since the last tick, and their smoothed rate per second.
+    /// Requests sent on since the last tick, each once however often it is tried, and their smoothed rate per second.
     pub(crate) sends: u32,
     flow: f64,
     ticks: u32,
@@ -195,7 +195,7 @@
         self.strain += weight * (aims - self.strain);
     }
 
-    /// Own attempts a second, `since` ns after the last tick. Before the first one it is the mean since the start: a
+    /// Own requests sent on a second, `since` ns after the last tick. Before the first one it is the mean since the start: a
     /// fleet of gateways that has just restarted would else leave the replicas idle that start with it.
     pub(crate) fn flow(&self, since: Nanos) -> f64 {
         match self.ticks {
