Cold nodes by the mean flow again: dividing by warm shares undid rule 4's guard

Where all warm nodes are gone, the flow over the warm shares of the rest, times each one's share, is the whole flow whatever the shares are: nothing is held back.

The mean over all ready nodes is back; a request's flow still counts once however often it is tried.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -126,8 +126,6 @@
     far_weight: f64,
     /// Those of them that are taken for cold.
     cold: Members,
-    /// What the cold fall short of being warm, in replicas, as of the last pick.
-    lack: f64,
     /// What a pick looks at; here so that none allocates.
     found: Vec<(usize, f64)>,
     /// Where sessions' last answers began.
@@ -177,7 +175,6 @@
             members: Membership::default(),
             far_weight: (-set.cross_zone_price / CROSS_SCALE).exp().max(1e-6),
             cold: Members::default(),
-            lack: 0.0,
             found: Vec::with_capacity(MOST_HOMES + SAMPLED * 2 + COLD_SEEN + 1),
             sessions: Sessions::default(),
             open: FxHashMap::default(),
@@ -562,15 +559,12 @@
         // has little: so those with credit are all looked at.
         let cold = self.cold.all();
         let first = if cold.is_empty() { 0 } else { self.rng.usize(..cold.len()) };
-        let mut lack = 0.0;
         for &i in cold[first..].iter().chain(&cold[..first]).take(COLD_SEEN) {
-            lack += 1.0 - self.warmth(now, &self.replicas[i]);
             // One that is warm by now is like the others: looked at by every pick, it would run over.
             if self.is_cold(now, &self.replicas[i]) && !found.iter().any(|f| f.0 == i) {
                 found.push((i, prompt - prefix * self.fleet.stray_kept));
             }
         }
-        self.lack = lack * (cold.len() as f64 / COLD_SEEN as f64).max(1.0);
         let crowded = self.fleet.ejected as f64 > EJECT_SHARE * self.members.ready.all().len() as f64;
         let mut chosen: Option<(f64, Pick)> = None;
         for &(i, unread) in &found {
@@ -672,16 +666,16 @@
         (0.5 + 0.5 * unread / self.fleet.mean_unread.max(1.0)).max(1.0)
     }
 
-    /// Rule 4: this gateway sends a cold replica at most `COLD_FLOW` times what a warm one gets from it on the
-    /// average, times the warm share and the speed of its kind. N gateways doing so sum to that of the fleet, however
+    /// Rule 4: this gateway sends a cold replica at most `COLD_FLOW` times its own mean flow per replica,
+    /// times the warm share and the speed of its kind. N gateways doing so sum to that of the fleet, however
     /// uneven they are. The first credit falls short of a request by up to all of a mean one: guards against
     /// all gateways sending their first at once, and against none sending any for as long as it takes to save
     /// it. A credit not used within the time of the rule is lost: guards against hundreds of gateways that
     /// each keep one and use them together, when the others have no room.
     fn cold_credit(&self, now: Nanos, r: &Replica) -> f64 {
         let share = self.warmth(now, r) * self.fleet.speed(r.row.kind);
-        let warm = (self.members.ready.all().len() as f64 - self.lack).max(1.0);
-        let gain = self.fleet.flow(now.saturating_sub(self.last_tick)) / warm * share * COLD_FLOW;
+        let ready = self.members.ready.all().len().max(1) as f64;
+        let gain = self.fleet.flow(now.saturating_sub(self.last_tick)) / ready * share * COLD_FLOW;
         let dt = now.saturating_sub(r.cold_at) as f64 / SECOND as f64;
         let most = (1.0 + gain * self.set.fall as f64 / SECOND as f64).min(MOST_CREDIT);
         let over = (r.cold_credit + dt * gain - most).max(0.0);
