--- a/src/choice.rs
+++ b/src/choice.rs
@@ -677,9 +677,11 @@
         let ready = self.members.ready.all().len().max(1) as f64;
         let gain = self.fleet.flow(now.saturating_sub(self.last_tick)) / ready * share * COLD_FLOW;
         let dt = now.saturating_sub(r.cold_at) as f64 / SECOND as f64;
+        let saved = r.cold_credit + dt * gain;
         let most = (1.0 + gain * self.set.fall as f64 / SECOND as f64).min(MOST_CREDIT);
-        let over = (r.cold_credit + dt * gain - most).max(0.0);
-        r.cold_credit + dt * gain - if most < MOST_CREDIT { over.ceil() } else { over }
+        let over = (saved - most).max(0.0);
+        // Whole credits are lost; where two or more are earned within that time, only what is over the most.
+        saved - if most < MOST_CREDIT { over.ceil() } else { over }
     }
 
     // ---- Attempts ----
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -58,17 +58,15 @@
                     }
                 }
             }
-            self.gateways[0].run_to(now);
-            if let Some((g, to)) = self.ask() {
+            if let Some((g, to)) = self.ask(now) {
                 self.due.push((now + first(to.0), g, RequestId(self.next), false));
             }
         }
         self.gateways.iter_mut().for_each(|w| drop(w.run_to(from + ms * MS)));
     }
 
-    /// The next gateway has a request, at the time of the first one: which, and where it went.
-    fn ask(&mut self) -> Option<(usize, ReplicaId)> {
-        let now = self.gateways[0].now;
+    /// The next gateway has a request: which it is, and where the request went.
+    fn ask(&mut self, now: Nanos) -> Option<(usize, ReplicaId)> {
         let g = (self.next % self.gateways.len() as u64) as usize;
         self.next += 1;
         let w = &mut self.gateways[g];
@@ -161,12 +159,13 @@
         fleet.play(12_000, slow);
         fleet.half_starts_anew();
         fleet.play(3_000, slow);
-        let left = (REPLICAS / 2..REPLICAS).map(|n| ReplicaRow { state: ReplicaState::Gone, ..row(n) });
-        let left: Vec<_> = left.collect();
+        let gone = |n| ReplicaRow { state: ReplicaState::Gone, ..row(n) };
+        let left: Vec<_> = (REPLICAS / 2..REPLICAS).map(gone).collect();
         fleet.gateways.iter_mut().for_each(|w| drop(w.list(ListKind::Delta, left.clone())));
         fleet.sends.fill(0);
+        let now = fleet.gateways[0].now;
         for _ in 0..1200 {
-            fleet.ask();
+            fleet.ask(now);
         }
         // The 100 requests a second are half of what the fleet can do; times the warm share after 4 s, 2.5 and 2 s.
         let can = 2.0 * 100.0 / REPLICAS as f64 * (0.2 + 0.8 * 0.4) * 2.5 * 2.0;
