--- /dev/null
+++ b/accord/src/leave.rs
@@ -0,0 +1,179 @@
+//! What one router does about its own entry, and until when. A leave is a lease: the router that has it looks at its own
+//! clock before it begins to go out. One that was stopped in between wakes up to a leave that has run out, and does
+//! nothing. Nobody else needs the lease to end for the bounds to hold: an entry counts until its router ends it. It is
+//! what a halt waits for, before it is answered, where the router can't be asked.
+
+use tallypin_members::{Nanos, Place};
+
+use crate::document::{Act, Document, Stage};
+
+/// The figures of a leave, ns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Figures {
+    /// A leave may be used for so long after it was asked for.
+    pub lease: Nanos,
+    /// Clocks may run apart by this share of it, as one in so many.
+    pub drift: u64,
+    /// A leave that was refused is asked for again after this.
+    pub again: Nanos,
+}
+
+impl Figures {
+    /// After this, by any clock of the fleet, no leave asked for before is used any more.
+    pub fn over(&self) -> Nanos {
+        self.lease + 2 * (self.lease / self.drift.max(1))
+    }
+}
+
+/// What the router itself does at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Own {
+    /// It serves.
+    Serving,
+    /// It has begun to go out.
+    Out,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing.
+    Rest,
+    /// To ask for this change; what comes of it is told with `asked`.
+    Ask(Act),
+    /// To begin to go out, now: the clock has been looked at.
+    GoOut,
+    /// To serve again.
+    Serve,
+}
+
+/// One router's own part.
+#[derive(Debug)]
+pub struct Leaver {
+    figures: Figures,
+    me: Place,
+    life: u64,
+    /// When the leave that is granted was asked for, by the own clock.
+    asked: Option<Nanos>,
+    refused: Option<Nanos>,
+}
+
+impl Leaver {
+    /// Of a router that has just started.
+    pub fn new(figures: Figures, me: Place, life: u64) -> Leaver {
+        Leaver { figures, me, life, asked: None, refused: None }
+    }
+
+    /// Whether a leave that was asked for then may still be used.
+    fn good(&self, now: Nanos, asked: Nanos) -> bool {
+        now.saturating_sub(asked) < self.figures.lease
+    }
+
+    /// What to do, by the newest document known here.
+    pub fn next(&self, now: Nanos, document: &Document, own: Own) -> Next {
+        let entry = document.entries.get(&self.me).map(|e| e.stage);
+        match (entry, own) {
+            (Some(Stage::Wanted), Own::Serving) if document.halted.is_none() => {
+                let soon = self.refused.is_some_and(|at| now.saturating_sub(at) < self.figures.again);
+                if soon {
+                    Next::Rest
+                } else {
+                    Next::Ask(Act::Leave(self.me, self.life))
+                }
+            }
+            (Some(Stage::Leave(life)), Own::Serving) if life == self.life => {
+                match self.asked.is_some_and(|at| self.good(now, at)) {
+                    true => Next::GoOut,
+                    false => Next::Ask(Act::GiveUp(self.me, life)),
+                }
+            }
+            (Some(Stage::Leave(life)), Own::Out) if life == self.life => Next::Ask(Act::Going(self.me, life)),
+            (Some(Stage::Back(_)), Own::Out) => Next::Serve,
+            (Some(Stage::Back(_)), Own::Serving) => Next::Ask(Act::Serves(self.me, self.life)),
+            (Some(Stage::Leave(life) | Stage::Out(life)), Own::Serving) if life != self.life => {
+                Next::Ask(Act::Serves(self.me, self.life))
+            }
+            _ => Next::Rest,
+        }
+    }
+
+    /// What became of a change that was asked for at `at`, before it was sent.
+    pub fn asked(&mut self, at: Nanos, now: Nanos, act: &Act, done: bool) {
+        if matches!(act, Act::Leave(..)) {
+            self.asked = done.then_some(at);
+            self.refused = (!done).then_some(now);
+        }
+    }
+}
+
+/// Whether a halt that was agreed on so long ago may be answered: nobody can begin to go out any more.
+pub fn halt_holds(figures: &Figures, since: Nanos, document: &Document) -> bool {
+    // One that is to come back may have had its leave until a moment ago, and not know better yet.
+    let open = document.entries.values().any(|e| matches!(e.stage, Stage::Leave(_) | Stage::Back(_)));
+    !open || since > figures.over()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::document::Entry;
+
+    const S: Nanos = 1_000_000_000;
+    const FIGURES: Figures = Figures { lease: 5 * S, drift: 20, again: S };
+
+    fn with(stage: Stage) -> Document {
+        let mut doc = Document::default();
+        doc.entries.insert(3, Entry { stage, order: "d".into() });
+        doc
+    }
+
+    #[test]
+    fn a_leave_is_used_within_its_time_and_given_up_after_it() {
+        let mut l = Leaver::new(FIGURES, 3, 9);
+        let ask = Act::Leave(3, 9);
+        assert_eq!(l.next(S, &with(Stage::Wanted), Own::Serving), Next::Ask(ask.clone()));
+        l.asked(S, 2 * S, &ask, true);
+        let granted = with(Stage::Leave(9));
+        assert_eq!(l.next(5 * S, &granted, Own::Serving), Next::GoOut);
+        assert_eq!(l.next(6 * S, &granted, Own::Serving), Next::Ask(Act::GiveUp(3, 9)), "stopped in between");
+        assert_eq!(l.next(6 * S, &granted, Own::Out), Next::Ask(Act::Going(3, 9)), "it went in time");
+        let unasked = Leaver::new(FIGURES, 3, 9);
+        assert_eq!(
+            unasked.next(S, &granted, Own::Serving),
+            Next::Ask(Act::GiveUp(3, 9)),
+            "it does not know since when"
+        );
+    }
+
+    #[test]
+    fn a_refused_leave_is_asked_for_again_later_and_not_while_halted() {
+        let mut l = Leaver::new(FIGURES, 3, 9);
+        l.asked(S, S, &Act::Leave(3, 9), false);
+        assert_eq!(l.next(S + S / 2, &with(Stage::Wanted), Own::Serving), Next::Rest);
+        assert!(matches!(l.next(2 * S, &with(Stage::Wanted), Own::Serving), Next::Ask(_)));
+        let halted = Document { halted: Some("x".into()), ..with(Stage::Wanted) };
+        assert_eq!(l.next(9 * S, &halted, Own::Serving), Next::Rest);
+    }
+
+    #[test]
+    fn a_router_comes_back_by_order_or_by_starting_anew() {
+        let l = Leaver::new(FIGURES, 3, 9);
+        assert_eq!(l.next(S, &with(Stage::Back(9)), Own::Out), Next::Serve);
+        assert_eq!(l.next(S, &with(Stage::Back(9)), Own::Serving), Next::Ask(Act::Serves(3, 9)));
+        assert_eq!(
+            l.next(S, &with(Stage::Out(8)), Own::Serving),
+            Next::Ask(Act::Serves(3, 9)),
+            "another life went"
+        );
+        assert_eq!(l.next(S, &with(Stage::Out(9)), Own::Out), Next::Rest);
+        assert_eq!(l.next(S, &Document::default(), Own::Serving), Next::Rest);
+    }
+
+    #[test]
+    fn a_halt_is_answered_when_no_leave_is_open_or_none_can_be_used() {
+        assert!(halt_holds(&FIGURES, 0, &with(Stage::Out(9))));
+        assert!(!halt_holds(&FIGURES, 5 * S, &with(Stage::Leave(9))));
+        assert!(!halt_holds(&FIGURES, 5 * S, &with(Stage::Back(9))), "it had a leave a moment ago");
+        assert!(halt_holds(&FIGURES, 6 * S, &with(Stage::Leave(9))));
+    }
+}
--- /dev/null
+++ b/accord/src/lib.rs
@@ -0,0 +1,11 @@
+//! One document that a fleet of routers agrees on, and the leave to go out of service that it grants. No input or
+//! output: messages, time and lives are handed in. `docs/FLEET-DESIGN.md` has the options weighed and the invariants.
+//!
+//! - [`register`]: a register that changes by compare-and-set, kept by a council of a few routers (CASPaxos: Rystsov,
+//!   *CASPaxos: Replicated State Machines without logs*, 2018), whose members forget everything when they restart.
+//! - [`document`]: what it holds, and which changes the bounds allow.
+//! - [`leave`]: what one router does about its own entry, and until when it may.
+
+pub mod document;
+pub mod leave;
+pub mod register;
--- /dev/null
+++ b/accord/src/register.rs
@@ -0,0 +1,449 @@
+//! A register that a majority of a council agrees on, changed by compare-and-set.
+//!
+//! A change is a round: a majority promises not to take anything older and tells what it took last; the newest of that
+//! is changed; a majority takes the result. Members of the council may forget everything when they restart. So the
+//! value carries the life of each member that counts (`lives`), and a promise counts only if its life is the one in the
+//! newest value seen: what an earlier life promised is void. A member that has restarted takes part again once a round
+//! that a majority *without it* has taken names its new life.
+//!
+//! The very first value is taken by all members, each blank, or not at all.
+
+use serde::{Deserialize, Serialize};
+
+/// A member of the council, by its place among them.
+pub type Member = u8;
+
+/// The most members of a council.
+pub const MOST_MEMBERS: usize = 7;
+
+/// A round's number. Rounds are ordered; no two have the same, as a router numbers its own upwards within a life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Above all that its proposer has heard of.
+    pub number: u64,
+    /// The proposer's place in the fleet.
+    pub by: u16,
+    /// Its life.
+    pub life: u64,
+}
+
+impl Ballot {
+    /// One above this and `seen`. At the end of the numbers it stays there, and nothing more is agreed on.
+    pub fn above(self, seen: Ballot) -> Ballot {
+        Ballot { number: self.number.max(seen.number).saturating_add(1), ..self }
+    }
+}
+
+/// The value: what is agreed on, and the lives of the members that count.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Value<D> {
+    /// By member.
+    pub lives: Vec<u64>,
+    /// What the routers agree on.
+    pub document: D,
+}
+
+/// What a member is asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ask<D> {
+    /// What it took last; nothing is promised.
+    Look,
+    /// To promise.
+    Prepare(Ballot),
+    /// To take a value.
+    Take(Ballot, Value<D>),
+    /// To take the first of all values, if it is blank.
+    Found(Ballot, Value<D>),
+}
+
+/// What it answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Answer<D> {
+    /// What it took last.
+    Has {
+        /// The life that tells it.
+        life: u64,
+        /// What it took last.
+        taken: Option<(Ballot, Value<D>)>,
+    },
+    /// Promised; what it took last.
+    Promised {
+        /// The life that promises.
+        life: u64,
+        /// What it took last.
+        taken: Option<(Ballot, Value<D>)>,
+    },
+    /// Taken.
+    Taken {
+        /// The life that has taken it.
+        life: u64,
+    },
+    /// It has promised something newer.
+    Newer(Ballot),
+    /// It has started and takes no part yet.
+    Blank {
+        /// Its life.
+        life: u64,
+    },
+}
+
+/// Deliberate mistakes, one at a time. The tests have to find each.
+#[cfg(feature = "defects")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    /// A promise counts whatever life gave it.
+    AnyLife,
+    /// One member less than a majority is enough.
+    OneShort,
+    /// A member forgets what it has promised.
+    ForgetsPromise,
+    /// The first value heard is changed, not the newest.
+    FirstHeard,
+    /// A member that has restarted takes part at once, and counts.
+    NotBlank,
+    /// Older values are taken after newer ones.
+    TakesOlder,
+    /// An answer that comes twice counts twice.
+    CountsTwice,
+}
+
+/// Without the feature there are none, and what asks for one is compiled away.
+#[cfg(not(feature = "defects"))]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Defect {}
+
+macro_rules! defect {
+    ($self:ident, $name:ident) => {{
+        #[cfg(feature = "defects")]
+        let with = $self.defect == Some(Defect::$name);
+        #[cfg(not(feature = "defects"))]
+        let with = $self.defect.is_some();
+        with
+    }};
+}
+
+/// What a member of the council keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Keeper<D> {
+    life: u64,
+    joined: bool,
+    promised: Ballot,
+    taken: Option<(Ballot, Value<D>)>,
+    defect: Option<Defect>,
+}
+
+impl<D: Clone + PartialEq> Keeper<D> {
+    /// A member that has just started and knows nothing.
+    pub fn blank(life: u64) -> Keeper<D> {
+        Keeper { life, joined: false, promised: Ballot::default(), taken: None, defect: None }
+    }
+
+    /// The same with a mistake.
+    #[cfg(feature = "defects")]
+    pub fn with(self, defect: Option<Defect>) -> Keeper<D> {
+        let joined = self.joined || defect == Some(Defect::NotBlank);
+        Keeper { defect, joined, ..self }
+    }
+
+    /// Whether it takes part.
+    pub fn joined(&self) -> bool {
+        self.joined
+    }
+
+    /// What it took last: at times newer than what is agreed on, at times older. A hint to look.
+    pub fn taken(&self) -> Option<&Value<D>> {
+        self.taken.as_ref().map(|(_, value)| value)
+    }
+
+    /// Answers.
+    pub fn asked(&mut self, ask: Ask<D>) -> Answer<D> {
+        match ask {
+            Ask::Found(ballot, value) => {
+                // One that was sent to an earlier life of this member names that life, not this one.
+                let fresh = !self.joined && self.taken.is_none() && value.lives.contains(&self.life);
+                if fresh {
+                    (self.joined, self.promised, self.taken) = (true, ballot, Some((ballot, value)));
+                }
+                match self.taken.as_ref().is_some_and(|(b, _)| *b == ballot) {
+                    true => Answer::Taken { life: self.life },
+                    false => Answer::Newer(self.promised),
+                }
+            }
+            _ if !self.joined => Answer::Blank { life: self.life },
+            Ask::Look => Answer::Has { life: self.life, taken: self.taken.clone() },
+            Ask::Prepare(ballot) => {
+                if ballot < self.promised {
+                    return Answer::Newer(self.promised);
+                }
+                if !defect!(self, ForgetsPromise) {
+                    self.promised = ballot;
+                }
+                Answer::Promised { life: self.life, taken: self.taken.clone() }
+            }
+            Ask::Take(ballot, value) => {
+                if ballot < self.promised && !defect!(self, TakesOlder) {
+                    return Answer::Newer(self.promised);
+                }
+                (self.promised, self.taken) = (self.promised.max(ballot), Some((ballot, value)));
+                Answer::Taken { life: self.life }
+            }
+        }
+    }
+
+    /// A round that named this life has been agreed on without it: from now on it takes part.
+    pub fn join(&mut self, ballot: Ballot, value: Value<D>) {
+        if !self.joined && value.lives.contains(&self.life) {
+            (self.joined, self.promised, self.taken) = (true, ballot, Some((ballot, value)));
+        }
+    }
+}
+
+/// What a round wants next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step<D> {
+    /// More answers.
+    Wait,
+    /// To change this value: `propose` goes on with the result.
+    Change(D),
+    /// This has been agreed on.
+    Agreed(Value<D>),
+    /// It can't be agreed on any more; the newest round heard of.
+    Lost(Ballot),
+}
+
+/// One round, at its proposer.
+#[derive(Debug, Clone)]
+pub struct Round<D> {
+    ballot: Ballot,
+    members: usize,
+    /// The member that joins by this round, and its new life. It is blank, so it has no say in it.
+    joins: Option<(Member, u64)>,
+    answers: Vec<Option<Said<D>>>,
+    value: Option<Value<D>>,
+    extra: usize,
+    defect: Option<Defect>,
+}
+
+/// What a member tells: the life that tells it, what it took last.
+pub type Said<D> = (u64, Option<(Ballot, Value<D>)>);
+
+impl<D: Clone + PartialEq> Round<D> {
+    /// A round of this number before so many members.
+    pub fn new(ballot: Ballot, members: usize) -> Round<D> {
+        let answers = vec![None; members];
+        Round { ballot, members, joins: None, answers, value: None, extra: 0, defect: None }
+    }
+
+    /// One by which a member that has restarted joins.
+    pub fn joining(ballot: Ballot, members: usize, member: Member, life: u64) -> Round<D> {
+        Round { joins: Some((member, life)), ..Round::new(ballot, members) }
+    }
+
+    /// The same with a mistake.
+    #[cfg(feature = "defects")]
+    pub fn with(self, defect: Option<Defect>) -> Round<D> {
+        Round { defect, ..self }
+    }
+
+    /// Its number.
+    pub fn ballot(&self) -> Ballot {
+        self.ballot
+    }
+
+    /// What to ask of all members now.
+    pub fn ask(&self) -> Ask<D> {
+        match &self.value {
+            None => Ask::Prepare(self.ballot),
+            Some(value) => Ask::Take(self.ballot, value.clone()),
+        }
+    }
+
+    fn majority(&self, of: usize) -> bool {
+        let of = of + self.extra;
+        of * 2 > self.members || (defect!(self, OneShort) && (of + 1) * 2 > self.members)
+    }
+
+    /// The newest value that any member has told, valid or not: what is there was taken by someone.
+    fn newest(&self) -> Option<&(Ballot, Value<D>)> {
+        let told = self.answers.iter().flatten().filter_map(|(_, taken)| taken.as_ref());
+        match defect!(self, FirstHeard) {
+            true => told.min_by_key(|(ballot, _)| *ballot),
+            false => told.max_by_key(|(ballot, _)| *ballot),
+        }
+    }
+
+    /// An answer to `ask`, of a member. Answers to an earlier question of this round, and doubled ones, do no harm.
+    pub fn heard(&mut self, from: Member, to: &Ask<D>, answer: Answer<D>) -> Step<D> {
+        let from = usize::from(from);
+        if from >= self.members {
+            return Step::Wait;
+        }
+        let doubled = self.answers[from].is_some() && defect!(self, CountsTwice);
+        match (to, answer) {
+            (_, Answer::Newer(seen)) if seen > self.ballot => Step::Lost(seen),
+            (Ask::Prepare(b), Answer::Promised { life, taken })
+                if *b == self.ballot && self.value.is_none() =>
+            {
+                self.extra += usize::from(doubled);
+                self.answers[from] = Some((life, taken));
+                self.promised()
+            }
+            (Ask::Take(b, value), Answer::Taken { life })
+                if *b == self.ballot && self.value.as_ref() == Some(value) =>
+            {
+                self.extra += usize::from(doubled);
+                self.answers[from] = Some((life, None));
+                self.taken()
+            }
+            _ => Step::Wait,
+        }
+    }
+
+    fn promised(&self) -> Step<D> {
+        let Some((_, newest)) = self.newest() else { return Step::Wait };
+        // What a member promised in a life that no longer counts, it may have forgotten.
+        let valid = |(i, said): &(usize, &Option<Said<D>>)| {
+            said.as_ref().is_some_and(|(life, _)| {
+                newest.lives.get(*i) == Some(life) || defect!(self, AnyLife) || defect!(self, NotBlank)
+            })
+        };
+        match self.majority(self.answers.iter().enumerate().filter(valid).count()) {
+            true => Step::Change(newest.document.clone()),
+            false => Step::Wait,
+        }
+    }
+
+    fn taken(&self) -> Step<D> {
+        let Some(value) = &self.value else { return Step::Wait };
+        let valid = |(i, said): &(usize, &Option<Said<D>>)| {
+            said.as_ref().is_some_and(|(life, _)| {
+                value.lives.get(*i) == Some(life) || defect!(self, AnyLife) || defect!(self, NotBlank)
+            })
+        };
+        match self.majority(self.answers.iter().enumerate().filter(valid).count()) {
+            true => Step::Agreed(value.clone()),
+            false => Step::Wait,
+        }
+    }
+
+    /// The changed document, after `Step::Change`: from now on members are asked to take it.
+    pub fn propose(&mut self, document: D) {
+        let Some((_, newest)) = self.newest() else { return };
+        let mut lives = newest.lives.clone();
+        if let Some((member, life)) = self.joins {
+            if let Some(old) = lives.get_mut(usize::from(member)) {
+                *old = life;
+            }
+        }
+        self.value = Some(Value { lives, document });
+        (self.answers, self.extra) = (vec![None; self.members], 0);
+    }
+}
+
+/// What members have told that they took last, by member; `None`: not answered.
+pub type Told<D> = [Option<Said<D>>];
+
+/// What is agreed on by what members have told: what a majority, in the lives that count, took last. Whatever was agreed
+/// on before they were asked, one of them would have told. It promises nothing and so stops no round: guards against many
+/// that look, again and again, and let nobody change anything. `None`: not to be told by this, a round can tell.
+pub fn agreed<D: Clone>(told: &Told<D>) -> Option<Value<D>> {
+    told.iter().flatten().filter_map(|(_, taken)| taken.as_ref()).find_map(|(ballot, value)| {
+        let same = |(member, said): &(usize, &Option<Said<D>>)| {
+            said.as_ref().is_some_and(|(life, taken)| {
+                value.lives.get(*member) == Some(life) && taken.as_ref().is_some_and(|(b, _)| b == ballot)
+            })
+        };
+        (told.iter().enumerate().filter(same).count() * 2 > told.len()).then(|| value.clone())
+    })
+}
+
+/// The first value of all, by the first member of the council: every member is asked whether it is blank, then to take
+/// it. `None` unless all are.
+pub fn first<D>(document: D, blank: &[Option<u64>]) -> Option<Value<D>> {
+    let lives: Option<Vec<u64>> = blank.iter().copied().collect();
+    Some(Value { lives: lives?, document })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    type Members = Vec<Keeper<u64>>;
+
+    fn founded(n: usize) -> Members {
+        let mut all: Members = (0..n as u64).map(Keeper::blank).collect();
+        let value = first(0, &(0..n as u64).map(Some).collect::<Vec<_>>()).expect("all are blank");
+        let ballot = Ballot { number: 1, by: 0, life: 0 };
+        for m in &mut all {
+            assert_eq!(m.asked(Ask::Found(ballot, value.clone())), Answer::Taken { life: m.life });
+        }
+        all
+    }
+
+    /// Plays a round before those members that `reach` says; what it ends with.
+    fn play(all: &mut Members, mut round: Round<u64>, reach: &[usize]) -> Step<u64> {
+        loop {
+            let ask = round.ask();
+            let mut last = Step::Wait;
+            for &m in reach {
+                let answer = all[m].asked(ask.clone());
+                match round.heard(m as Member, &ask, answer) {
+                    Step::Wait => {}
+                    step => {
+                        last = step;
+                        break;
+                    }
+                }
+            }
+            match last {
+                Step::Change(n) => round.propose(n + 1),
+                other => return other,
+            }
+        }
+    }
+
+    fn ballot(number: u64, by: u16) -> Ballot {
+        Ballot { number, by, life: 0 }
+    }
+
+    #[test]
+    fn a_majority_changes_it_and_a_minority_does_not() {
+        let mut all = founded(5);
+        let agreed = |step| matches!(step, Step::Agreed(Value { document, .. }) if document > 0);
+        assert!(agreed(play(&mut all, Round::new(ballot(2, 0), 5), &[0, 1, 2])));
+        let step = play(&mut all, Round::new(ballot(3, 1), 5), &[2, 3, 4]);
+        assert!(matches!(&step, Step::Agreed(v) if v.document == 2), "built on the first: {step:?}");
+        assert_eq!(play(&mut all, Round::new(ballot(4, 2), 5), &[0, 1]), Step::Wait);
+        let late = play(&mut all, Round::new(ballot(2, 3), 5), &[2, 3, 4]);
+        assert_eq!(late, Step::Lost(ballot(3, 1)), "an older round is told of the newer");
+    }
+
+    #[test]
+    fn a_member_that_has_restarted_takes_part_only_after_a_majority_without_it_has_named_its_life() {
+        let mut all = founded(3);
+        play(&mut all, Round::new(ballot(2, 0), 3), &[0, 1]);
+        all[0] = Keeper::blank(100);
+        assert_eq!(play(&mut all, Round::new(ballot(3, 1), 3), &[0, 2]), Step::Wait, "blank, and one");
+        let alone = Round::joining(ballot(4, 0), 3, 0, 100);
+        assert_eq!(play(&mut all, alone, &[0, 1]), Step::Wait, "itself does not count");
+        let joined = play(&mut all, Round::joining(ballot(5, 0), 3, 0, 100), &[1, 2]);
+        let Step::Agreed(value) = joined else { panic!("{joined:?}") };
+        assert_eq!((value.lives[0], value.document), (100, 2), "what was agreed on before is kept");
+        all[0].join(ballot(5, 0), value);
+        assert!(
+            matches!(play(&mut all, Round::new(ballot(6, 2), 3), &[0, 2]), Step::Agreed(v) if v.document == 3)
+        );
+    }
+
+    #[test]
+    fn the_first_value_wants_all_members_and_all_blank() {
+        assert_eq!(first(0, &[Some(1), None, Some(3)]), None::<Value<u64>>);
+        let mut all = founded(3);
+        let other = Value { lives: vec![0, 1, 2], document: 77 };
+        let again = all[1].asked(Ask::Found(ballot(9, 1), other));
+        assert_eq!(again, Answer::Newer(ballot(1, 0)), "it is not blank any more");
+        assert_eq!(all[1].taken().map(|v| v.document), Some(0));
+    }
+}
--- a/router/src/checks/control.rs
+++ b/router/src/checks/control.rs
@@ -1,9 +1,11 @@
 //! The operator's orders over a Unix socket: one line of words in, one line of JSON out. The file's permissions
 //! are the guard.
 
+use std::future::Future;
 use std::io;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,15 +21,19 @@
 use crate::host::Host;
 use crate::installation::ControlSettings;
 
-/// The longest line.
-const LONGEST: u64 = 256;
-/// A connection may take so long.
+/// The longest line, and the longest of an order to the fleet, which names its routers.
+const LONGEST: usize = 256;
+const LONGEST_TO_FLEET: u64 = 16 << 10;
+/// A line must be whole within this.
 const BUDGET: Duration = Duration::from_secs(1);
 /// Connections at once.
 const MOST: usize = 4;
 
+/// Who carries out orders to the fleet; it answers within a time of its own.
+pub type ToFleet = Rc<dyn Fn(String) -> Pin<Box<dyn Future<Output = Value>>>>;
+
 /// An order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
     /// Tell the state.
     Show,
@@ -42,6 +48,8 @@
     Maint,
     /// Want so much weight at the most, percent.
     Weight(u8),
+    /// An order to the fleet: the words behind `fleet`.
+    Fleet(String),
 }
 
 /// Reads a line.
@@ -59,8 +67,12 @@
             let share = digits.parse().ok().filter(|n| plain && (1..=100).contains(n));
             share.map(Command::Weight).ok_or("weight takes a share from 1% to 100%".into())
         }
+        ["fleet", ref words @ ..] => Ok(Command::Fleet(words.join(" "))),
         [] => Err("no order".into()),
-        _ => Err("no such order; there are show, drain, drain end, ready, maint and weight N%".into()),
+        _ => {
+            Err("no such order; there are show, drain, drain end, ready, maint, weight N% and fleet ORDER"
+                .into())
+        }
     }
 }
 
@@ -100,7 +112,7 @@
     }
 
     /// Takes orders. Ends never.
-    pub async fn serve(self, host: Rc<Host>, board: Rc<Board>) {
+    pub async fn serve(self, host: Rc<Host>, board: Rc<Board>, fleet: Option<ToFleet>) {
         let places = std::sync::Arc::new(Semaphore::new(MOST));
         loop {
             let Ok(place) = places.clone().acquire_owned().await else { return };
@@ -108,27 +120,40 @@
                 tokio::time::sleep(Duration::from_millis(5)).await;
                 continue;
             };
-            let (host, board) = (host.clone(), board.clone());
+            let (host, board, fleet) = (host.clone(), board.clone(), fleet.clone());
             tokio::task::spawn_local(async move {
-                let _ = timeout(BUDGET, one(stream, &host, &board)).await;
+                let _ = one(stream, &host, &board, fleet).await;
                 drop(place);
             });
         }
     }
 }
 
-async fn one(mut stream: UnixStream, host: &Rc<Host>, board: &Rc<Board>) -> io::Result<()> {
+async fn one(
+    mut stream: UnixStream,
+    host: &Rc<Host>,
+    board: &Rc<Board>,
+    fleet: Option<ToFleet>,
+) -> io::Result<()> {
     let (reader, mut writer) = stream.split();
     let mut line = String::new();
-    let read_line = BufReader::new(reader.take(LONGEST)).read_line(&mut line).await;
+    let read_line =
+        timeout(BUDGET, BufReader::new(reader.take(LONGEST_TO_FLEET)).read_line(&mut line)).await?;
+    let fits = line.len() <= LONGEST || line.starts_with("fleet ");
     let answer = match read_line {
-        Ok(_) if line.ends_with('\n') => match read(&line) {
+        Ok(_) if fits && line.ends_with('\n') => match read(&line) {
+            Ok(Command::Fleet(words)) => match fleet {
+                Some(fleet) => fleet(words).await,
+                None => {
+                    json!({"done": false, "why": "this router is of no fleet: the settings have no section `fleet`"})
+                }
+            },
             Ok(command) => obey(command, host, board),
             Err(why) => json!({"done": false, "why": why}),
         },
         _ => json!({"done": false, "why": "no whole line of text"}),
     };
-    writer.write_all(format!("{answer}\n").as_bytes()).await
+    timeout(BUDGET, writer.write_all(format!("{answer}\n").as_bytes())).await?
 }
 
 /// Carries an order out.
@@ -144,6 +169,7 @@
         Command::Drain { end: true } => (Wish::DrainAndEnd, Order::Drain),
         Command::Ready => (Wish::Serve, Order::Ready),
         Command::Maint => (Wish::Drain, Order::Maint),
+        Command::Fleet(_) => return json!({"done": false, "why": "not an order to one router"}),
     };
     if !board.want(wish, order) {
         return json!({"done": false, "why": "too late: the router is ending"});
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -63,11 +63,12 @@
 }
 
 /// The commands and what each is for.
-const COMMANDS: [(&str, &str); 6] = [
+const COMMANDS: [(&str, &str); 7] = [
     ("serve", "run the router"),
     ("check", "read the configuration and the settings, say what is wrong with them, and end"),
     ("health", "ask a router for its state, as a check program"),
     ("ctl", "give a running router an order"),
+    ("fleet", "give the fleet an order, at any of its routers"),
     ("version", "print the version"),
     ("help", "print this, or help on a command"),
 ];
@@ -128,6 +129,19 @@
   maint          out of service
   ready          serve again
   weight N%      want so much weight at the most
+"
+        .into(),
+        Some("fleet") => "\
+tallypin fleet --socket PATH [--id ID] ORDER
+
+Gives the whole fleet an order over the socket of any of its routers (sections `control` and `fleet` of the settings)
+and prints the answer, one line of JSON. An order with an id runs at most once, whoever sends it how often.
+  status               what is agreed on: who is out, or is to go, and whether it is halted
+  drain ROUTER..       these go out, as many at a time as the bounds let, each by a leave of its own
+  put-back ROUTER..    these come back
+  halt [CAUSE]         nobody begins to go out; answered when that is certain
+  resume               it goes on
+exit codes: 0 agreed on; 1 not, or no majority of the council answered in time
 "
         .into(),
         Some("settings") => format!(
@@ -158,6 +172,7 @@
     let (mut settings, mut print, mut at, mut protocol) = (None, false, None, Protocol::Agent);
     let (mut service, mut path, mut style) = (String::new(), "/healthz".to_string(), Style::Plain);
     let (mut timeout, mut socket, mut words) = (Duration::from_secs(1), None, Vec::new());
+    let mut id: Option<String> = None;
     while let Some(arg) = args.next()? {
         match (command.as_str(), arg) {
             (_, Short('h') | Long("help")) => return Ok(Command::Help(Some(command))),
@@ -185,8 +200,9 @@
                     _ => return Err(format!("--timeout: {}", kind.expects()).into()),
                 };
             }
-            ("ctl", Long("socket")) => socket = Some(args.value()?.into()),
-            ("ctl" | "help", Value(word)) => words.push(word.string()?),
+            ("ctl" | "fleet", Long("socket")) => socket = Some(args.value()?.into()),
+            ("fleet", Long("id")) => id = Some(args.value()?.string()?),
+            ("ctl" | "fleet" | "help", Value(word)) => words.push(word.string()?),
             (_, other) => return Err(other.unexpected()),
         }
     }
@@ -209,6 +225,13 @@
             tallypin_router::checks::control::read(&order)?;
             Command::Ctl { socket, order }
         }
+        "fleet" => {
+            let socket = socket.ok_or_else(|| missing("--socket PATH"))?;
+            let id = id.map(|id| format!("id {id} ")).unwrap_or_default();
+            let order = format!("{id}{}", words.join(" "));
+            tallypin_router::fleet::orders::read(&order.split_ascii_whitespace().collect::<Vec<_>>())?;
+            Command::Ctl { socket, order: format!("fleet {order}") }
+        }
         "version" => Command::Version,
         "help" => Command::Help(words.into_iter().next()),
         other => return Err(unknown(other).into()),
--- /dev/null
+++ b/router/src/fleet/link.rs
@@ -0,0 +1,92 @@
+//! Connections to the members of the council. One each, kept; a call at a time; each has a deadline. A member that accepts
+//! and says nothing costs its own calls their time and nobody else's.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use super::wire::{self, Call, Keys, Reply, Way};
+
+/// Calls that may wait for one member; more are not made, as an answer would come too late to count.
+const WAITING: usize = 8;
+
+type Asked = (Call, oneshot::Sender<Reply>);
+
+/// The way to one member.
+pub struct Link {
+    calls: mpsc::Sender<Asked>,
+    /// Whether the last call was answered.
+    well: Rc<Cell<bool>>,
+}
+
+impl Link {
+    /// Starts the task that keeps it. It ends with this.
+    pub fn start(to: SocketAddr, keys: Keys, deadline: Duration) -> Link {
+        let (calls, waiting) = mpsc::channel(WAITING);
+        let well = Rc::new(Cell::new(false));
+        tokio::task::spawn_local(keep(to, keys, deadline, waiting, well.clone()));
+        Link { calls, well }
+    }
+
+    /// Makes a call; `None`: not answered in time.
+    pub async fn call(&self, call: Call) -> Option<Reply> {
+        let (answer, answered) = oneshot::channel();
+        self.calls.try_send((call, answer)).ok()?;
+        answered.await.ok()
+    }
+
+    /// Whether the last call was answered.
+    pub fn well(&self) -> bool {
+        self.well.get()
+    }
+}
+
+async fn keep(
+    to: SocketAddr,
+    keys: Keys,
+    deadline: Duration,
+    mut calls: mpsc::Receiver<Asked>,
+    well: Rc<Cell<bool>>,
+) {
+    let mut stream: Option<TcpStream> = None;
+    while let Some((call, answer)) = calls.recv().await {
+        if answer.is_closed() {
+            continue; // Nobody waits for it any more.
+        }
+        let number = call.number;
+        let made = timeout(deadline, one(&mut stream, to, &keys, &call)).await;
+        match made.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(reply) if reply.number == number && reply.v == wire::VERSION => {
+                well.set(true);
+                let _ = answer.send(reply);
+            }
+            other => {
+                if well.replace(false) {
+                    let why = other.err().map_or("another call's answer".to_string(), |e| e.to_string());
+                    tracing::warn!(target: "fleet", %to, why, "member of the council lost");
+                }
+                // What may still come on it would be taken for the next call's answer.
+                stream = None;
+            }
+        }
+    }
+}
+
+async fn one(stream: &mut Option<TcpStream>, to: SocketAddr, keys: &Keys, call: &Call) -> io::Result<Reply> {
+    let stream = match stream {
+        Some(open) => open,
+        none => {
+            let opened = TcpStream::connect(to).await?;
+            opened.set_nodelay(true)?;
+            none.insert(opened)
+        }
+    };
+    wire::write(stream, &keys.seal(Way::Call, call)?).await?;
+    keys.open(Way::Reply, &wire::read(stream).await?)
+}
--- /dev/null
+++ b/router/src/fleet/settings.rs
@@ -0,0 +1,239 @@
+//! Section `fleet` of the settings: who belongs to it, who of it agrees, and how many may be out.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use tallypin_accord::document::Bounds;
+use tallypin_accord::leave;
+use tallypin_accord::register::MOST_MEMBERS;
+use tallypin_conf::{nearest, Checked, Directive, Entry, Kind, Problem, Section};
+use tallypin_members::Place;
+
+/// The most routers of a fleet.
+pub const MOST_ROUTERS: usize = 1000;
+/// Descriptors beside the connections of the routers: the listener, and who is turned away.
+const SPARE: usize = 4;
+const MINUTE: u64 = 60_000;
+
+/// The section.
+pub const SECTION: Section = Section {
+    name: "fleet",
+    always: false,
+    about: "drains that the routers of a fleet agree on",
+    directives: &[
+        Directive::required("name", &[Kind::Text], "the fleet's name; messages of another are not read"),
+        Directive::required("me", &[Kind::Text], "which of its routers this is"),
+        Directive::required(
+            "key",
+            &[Kind::Path],
+            "a file with the key that signs messages, or two while they change",
+        ),
+        Directive::required(
+            "router",
+            &[Kind::Text, Kind::Address, Kind::Text],
+            "a router, its address, its zone",
+        )
+        .many(),
+        Directive::required("council", &[Kind::Text], "the routers that agree: 1, 3, 5 or 7 of them").rest(),
+        Directive::required(
+            "out-most",
+            &[Kind::Text],
+            "routers that may be out at once, a number or a share",
+        ),
+        Directive::required("out-zone", &[Kind::Text], "the same, of a zone; a share is of the smallest"),
+        Directive::with("beat", &[Kind::Duration(50, MINUTE)], &["500ms"], "a router is heard so often"),
+        Directive::with("silent", &[Kind::Duration(100, MINUTE)], &["3s"], "not heard for so long it is out"),
+        Directive::with(
+            "lease",
+            &[Kind::Duration(500, MINUTE)],
+            &["5s"],
+            "a leave to go out is good for so long",
+        ),
+        Directive::with("answer", &[Kind::Duration(100, MINUTE)], &["1s"], "a member answers within this"),
+        Directive::with(
+            "within",
+            &[Kind::Duration(500, MINUTE)],
+            &["5s"],
+            "an order is agreed on within this, or not",
+        ),
+    ],
+    sections: &[],
+};
+
+/// A router of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Router {
+    /// Its name.
+    pub name: String,
+    /// Where it listens for the others.
+    pub at: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// What the section says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// The fleet's name.
+    pub name: String,
+    /// This router.
+    pub me: Place,
+    /// The file with the keys.
+    pub key: PathBuf,
+    /// All routers, by place.
+    pub routers: Vec<Router>,
+    /// Those that agree.
+    pub council: Vec<Place>,
+    /// How many may be out.
+    pub bounds: Bounds,
+    /// Beats, and when silence is believed.
+    pub members: tallypin_members::Figures,
+    /// The figures of a leave.
+    pub leave: leave::Figures,
+    /// A member answers within this.
+    pub answer: Duration,
+    /// An order is agreed on within this, or not.
+    pub within: Duration,
+}
+
+impl FleetSettings {
+    /// Reads the section; what is wrong is told with its line.
+    pub fn of(s: &Checked, problems: &mut Vec<Problem>) -> FleetSettings {
+        let routers: Vec<Router> = s.all("router").map(router).collect();
+        let names: Vec<&str> = routers.iter().map(|r| r.name.as_str()).collect();
+        let find = |entry: &Entry, word: usize, problems: &mut Vec<Problem>| -> Place {
+            let name = entry.text(word);
+            names.iter().position(|n| *n == name).unwrap_or_else(|| {
+                let what = format!("the fleet has no router `{name}`");
+                let mut problem = Problem::new(entry.place(word + 1), what);
+                problem.help =
+                    nearest(name, names.iter().copied()).map(|near| format!("did you mean `{near}`?"));
+                problems.push(problem);
+                0
+            }) as Place
+        };
+        let wrong = |what: String| Problem::new(s.place, what);
+        if routers.len() > MOST_ROUTERS {
+            problems.push(wrong(format!("a fleet has {MOST_ROUTERS} routers at the most")));
+        }
+        let addresses: BTreeSet<SocketAddr> = routers.iter().map(|r| r.at).collect();
+        if addresses.len() < routers.len() {
+            problems.push(wrong("two routers of the fleet have one address".into()));
+        }
+        let me = s.entry("me").map_or(0, |e| find(e, 0, problems));
+        let council: Vec<Place> = s
+            .entry("council")
+            .map_or(vec![], |e| (0..e.values.len()).map(|word| find(e, word, problems)).collect());
+        let apart: BTreeSet<Place> = council.iter().copied().collect();
+        if council.len() > MOST_MEMBERS || council.len() % 2 == 0 || apart.len() < council.len() {
+            problems.push(wrong("a council has 1, 3, 5 or 7 members, each once".into()));
+        }
+        let mut zones: Vec<&str> = routers.iter().map(|r| r.zone.as_str()).collect();
+        zones.sort_unstable();
+        let smallest = zones.chunk_by(|a, b| a == b).map(<[_]>::len).min().unwrap_or(0);
+        zones.dedup();
+        let zone_of = |r: &Router| zones.iter().position(|z| *z == r.zone).unwrap_or(0) as u16;
+        let mut most = |name: &str, of: usize, whole: bool| {
+            s.entry(name).map_or(0, |e| {
+                bound(e.text(0), of, whole).unwrap_or_else(|why| {
+                    problems.push(Problem::new(e.place(1), format!("`{name}`: {why}")));
+                    0
+                })
+            })
+        };
+        let (all, zone) = (most("out-most", routers.len(), false), most("out-zone", smallest, true));
+        let (beat, silent) = (s.duration("beat"), s.duration("silent"));
+        if silent < beat * 3 {
+            problems.push(wrong(
+                "`silent` is less than three times `beat`: a lost beat would be a silence".into(),
+            ));
+        }
+        let nanos = |d: Duration| d.as_nanos() as u64;
+        FleetSettings {
+            name: s.text("name").into(),
+            me,
+            key: s.path("key").map(PathBuf::from).unwrap_or_default(),
+            bounds: Bounds { zones: routers.iter().map(zone_of).collect(), all, zone },
+            routers,
+            council,
+            members: tallypin_members::Figures { every: nanos(beat), silent: nanos(silent) },
+            leave: leave::Figures { lease: nanos(s.duration("lease")), drift: 20, again: nanos(beat) },
+            answer: s.duration("answer"),
+            within: s.duration("within"),
+        }
+    }
+
+    /// The descriptors that it needs: a member of the council has a connection of each router, and each has one to every
+    /// member.
+    pub fn descriptors(&self) -> usize {
+        let served = if self.council.contains(&self.me) { self.routers.len() } else { 0 };
+        self.council.len() + served + SPARE
+    }
+
+    /// A router's place, by its name.
+    pub fn place(&self, name: &str) -> Option<Place> {
+        self.routers.iter().position(|r| r.name == name).map(|p| p as Place)
+    }
+}
+
+fn router(e: &Entry) -> Router {
+    let at = match e.values.get(1) {
+        Some(tallypin_conf::Value::Address(at)) => *at,
+        _ => ([127, 0, 0, 1], 0).into(),
+    };
+    Router { name: e.text(0).into(), at, zone: e.text(2).into() }
+}
+
+/// `3`, or `10%` of so many, rounded down. A share that is none is an error: it would stop every release, by accident.
+/// The whole of a zone may go out, where the bound says so; the whole of a fleet may not.
+fn bound(word: &str, of: usize, whole: bool) -> Result<usize, String> {
+    let digits = |w: &str| w.parse::<usize>().ok().filter(|_| w.bytes().all(|b| b.is_ascii_digit()));
+    let most = match word.strip_suffix('%') {
+        Some(share) => {
+            let share = digits(share).filter(|s| (1..=100).contains(s)).ok_or("a share is 1% to 100%")?;
+            match of * share / 100 {
+                0 => return Err(format!("{share}% of {of} is none; say 1 to let one out")),
+                most => most,
+            }
+        }
+        None => digits(word).ok_or("wants a number, or a share as 10%")?,
+    };
+    match most {
+        0 => Err("a bound of none would let nobody out".into()),
+        most if !whole && of > 1 && most >= of => {
+            Err(format!("{most} of {of} may be out: nobody would serve"))
+        }
+        most => Ok(most),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bounds_are_rounded_as_stated() {
+        assert_eq!(bound("10%", 300, false), Ok(30));
+        assert_eq!(bound("10%", 19, false), Ok(1));
+        assert_eq!(bound("2", 5, false), Ok(2));
+        for (word, of, why) in [
+            ("10%", 5, "10% of 5 is none"),
+            ("0", 5, "let nobody out"),
+            ("5", 5, "nobody would serve"),
+            ("100%", 3, "nobody would serve"),
+            ("-1", 5, "wants a number"),
+            ("0%", 5, "a share is 1% to 100%"),
+            ("many", 5, "wants a number"),
+        ] {
+            assert!(
+                bound(word, of, false).unwrap_err().contains(why),
+                "{word} of {of}: {:?}",
+                bound(word, of, false)
+            );
+        }
+        assert_eq!(bound("2", 2, true), Ok(2));
+        {}
+    }
+}
--- /dev/null
+++ b/router/src/fleet/wire.rs
@@ -0,0 +1,222 @@
+//! What routers of a fleet say to each other over TCP: a length, a keyed hash, JSON. Whoever does not hold a key of the
+//! fleet is not read; what is read is still untrusted in its size.
+
+use std::io;
+
+use serde::{Deserialize, Serialize};
+use tallypin_accord::document::Document;
+use tallypin_accord::register::{Answer, Ask};
+use tallypin_members::{Place, Says};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// This version of the messages. Fields that are not known are passed over; another version is not read.
+pub const VERSION: u8 = 1;
+/// The longest message, bytes: a document of all routers that one fleet may have, twice.
+pub const LONGEST: usize = 128 << 10;
+/// Bytes of the hash.
+const HASH: usize = 32;
+/// The shortest key, bytes.
+const SHORTEST_KEY: usize = 16;
+
+/// A question.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Call {
+    /// The version of this message.
+    pub v: u8,
+    /// Who asks.
+    pub from: Place,
+    /// Its life.
+    pub life: u64,
+    /// Above that of every call before in this life: one that comes again is no news.
+    pub number: u64,
+    /// What it asks.
+    pub what: What,
+}
+
+/// What is asked.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum What {
+    /// It lives, and says this of itself.
+    Beat(Says),
+    /// Of the register.
+    Ask(Ask<Document>),
+}
+
+/// An answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Reply {
+    /// The version of this message.
+    pub v: u8,
+    /// The number of the call.
+    pub number: u64,
+    /// What it says.
+    pub what: Said,
+}
+
+/// What is answered.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Said {
+    /// The version of the document that this member took last; `None`: it takes no part yet.
+    Heard(Option<u64>),
+    /// Of the register, and who is out, if this member can tell.
+    Answer(Answer<Document>, Option<Vec<Place>>),
+}
+
+/// Which way a message goes: guards against a call that comes back as its own answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// A call.
+    Call,
+    /// A reply.
+    Reply,
+}
+
+/// The keys of a fleet: the first signs, both are believed, so that a key can be changed router by router.
+#[derive(Clone)]
+pub struct Keys {
+    fleet: String,
+    all: Vec<[u8; 32]>,
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} keys of {}", self.all.len(), self.fleet)
+    }
+}
+
+impl Keys {
+    /// Of a file's text: a key a line, one or two.
+    pub fn read(fleet: &str, text: &str) -> Result<Keys, String> {
+        let lines: Vec<&str> = text.lines().map(str::trim).filter(|l| !l.is_empty()).collect();
+        if lines.is_empty() || lines.len() > 2 {
+            return Err(format!("holds {} keys, wanted one, or two while they change", lines.len()));
+        }
+        if let Some(at) = lines.iter().position(|l| l.len() < SHORTEST_KEY) {
+            return Err(format!("key {} is shorter than {SHORTEST_KEY} bytes", at + 1));
+        }
+        let key = |line: &&str| blake3::derive_key("tallypin fleet messages 1", line.as_bytes());
+        Ok(Keys { fleet: fleet.into(), all: lines.iter().map(key).collect() })
+    }
+
+    fn hash(&self, key: &[u8; 32], way: Way, body: &[u8]) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(key);
+        // The length keeps a name and the bytes behind it apart.
+        hasher.update(&(self.fleet.len() as u64).to_be_bytes()).update(self.fleet.as_bytes());
+        hasher.update(&[u8::from(way == Way::Reply)]).update(body);
+        hasher.finalize()
+    }
+
+    /// A whole message.
+    pub fn seal(&self, way: Way, message: &impl Serialize) -> io::Result<Vec<u8>> {
+        let body = serde_json::to_vec(message)?;
+        if body.len() > LONGEST {
+            return Err(spoilt("the message is too long"));
+        }
+        let key = self.all.first().ok_or_else(|| spoilt("no key"))?;
+        let mut bytes = ((HASH + body.len()) as u32).to_be_bytes().to_vec();
+        bytes.extend_from_slice(self.hash(key, way, &body).as_bytes());
+        bytes.extend_from_slice(&body);
+        Ok(bytes)
+    }
+
+    /// What stands in a message behind its length, if a key of the fleet signed it.
+    pub fn open<T: for<'a> Deserialize<'a>>(&self, way: Way, bytes: &[u8]) -> io::Result<T> {
+        let (hash, body) = bytes.split_at_checked(HASH).ok_or_else(|| spoilt("too short for a message"))?;
+        let hash: [u8; HASH] = hash.try_into().map_err(|_| spoilt("too short for a message"))?;
+        // Compared in constant time by the library.
+        if !self.all.iter().any(|key| self.hash(key, way, body) == blake3::Hash::from(hash)) {
+            return Err(spoilt("signed by no key of this fleet"));
+        }
+        serde_json::from_slice(body).map_err(|e| spoilt(&format!("not understood: {e}")))
+    }
+}
+
+fn spoilt(why: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why)
+}
+
+/// Reads one message; what stands behind its length.
+pub async fn read(from: &mut (impl AsyncRead + Unpin)) -> io::Result<Vec<u8>> {
+    let length = from.read_u32().await? as usize;
+    if !(HASH..=HASH + LONGEST).contains(&length) {
+        return Err(spoilt("a length that no message has"));
+    }
+    // Grows with what comes: a stranger's length alone costs nothing.
+    let mut bytes = Vec::new();
+    from.take(length as u64).read_to_end(&mut bytes).await?;
+    match bytes.len() == length {
+        true => Ok(bytes),
+        false => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+/// Writes one.
+pub async fn write(to: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> io::Result<()> {
+    to.write_all(bytes).await?;
+    to.flush().await
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const KEY: &str = "a key of sixteen bytes and more";
+
+    fn call() -> Call {
+        Call { v: VERSION, from: 1, life: 2, number: 3, what: What::Beat(Says::Serving) }
+    }
+
+    fn opened(keys: &Keys, way: Way, bytes: &[u8]) -> Result<Call, String> {
+        keys.open(way, &bytes[4..]).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn a_message_is_read_by_its_fleet_its_key_and_its_way_alone() {
+        let keys = Keys::read("nord", KEY).unwrap();
+        let bytes = keys.seal(Way::Call, &call()).unwrap();
+        assert_eq!(opened(&keys, Way::Call, &bytes).unwrap().number, 3);
+        let stranger = "signed by no key of this fleet";
+        assert_eq!(opened(&keys, Way::Reply, &bytes).unwrap_err(), stranger, "sent back");
+        assert_eq!(opened(&Keys::read("sued", KEY).unwrap(), Way::Call, &bytes).unwrap_err(), stranger);
+        let other = Keys::read("nord", "another key, also long enough").unwrap();
+        assert_eq!(opened(&other, Way::Call, &bytes).unwrap_err(), stranger);
+        let both = Keys::read("nord", &format!("another key, also long enough\n{KEY}\n")).unwrap();
+        assert!(opened(&both, Way::Call, &bytes).is_ok(), "while keys change");
+        for k in 4..bytes.len() {
+            let mut torn = bytes.clone();
+            torn[k] ^= 1;
+            assert!(opened(&keys, Way::Call, &torn).is_err(), "byte {k} flipped");
+            assert!(opened(&keys, Way::Call, &bytes[..k]).is_err(), "cut at {k}");
+        }
+    }
+
+    #[test]
+    fn keys_that_are_none_are_told() {
+        for (text, why) in [
+            ("", "holds 0 keys"),
+            ("short", "key 1 is shorter"),
+            (
+                "a key of sixteen bytes and more\nb key of sixteen bytes and more\nc key of sixteen bytes\n",
+                "holds 3 keys",
+            ),
+        ] {
+            assert!(Keys::read("nord", text).unwrap_err().contains(why), "{text:?}");
+        }
+    }
+
+    /// Bytes of the first version, as a router of it writes them: later ones must read these.
+    #[test]
+    fn the_first_versions_bytes_are_read() {
+        let body = br#"{"v":1,"from":2,"life":7,"number":9,"what":{"ask":{"prepare":{"number":4,"by":2,"life":7}}},"later":1}"#;
+        let call: Call = serde_json::from_slice(body).unwrap();
+        assert!(matches!(call.what, What::Ask(Ask::Prepare(b)) if b.number == 4));
+        let body = br#"{"v":1,"number":9,"what":{"answer":[{"promised":{"life":7,"taken":[{"number":1,"by":0,"life":7},{"lives":[7],"document":{"version":3,"halted":null,"entries":{"4":{"stage":{"leave":8},"order":"d"}},"orders":["d"]}}]}},[1,2]]}}"#;
+        let reply: Reply = serde_json::from_slice(body).unwrap();
+        let Said::Answer(Answer::Promised { taken: Some((_, value)), .. }, Some(out)) = reply.what else {
+            panic!()
+        };
+        assert_eq!((value.document.version, value.document.entries.len(), out), (3, 1, vec![1, 2]));
+    }
+}
--- a/router/src/installation.rs
+++ b/router/src/installation.rs
@@ -18,6 +18,7 @@
 use tallypin_health::{askers, plan, state};
 
 use crate::dialect::Dialect;
+use crate::fleet::{self, settings::FleetSettings};
 use crate::front::MessagesFront;
 use crate::limits::Limits;
 use crate::log::{self, LogSettings};
@@ -252,7 +253,7 @@
     always: true,
     about: "",
     directives: &[],
-    sections: &[LOG, MESSAGES, CHECKS, HEALTH, DRAIN, CONTROL, PROXY],
+    sections: &[LOG, MESSAGES, CHECKS, HEALTH, DRAIN, CONTROL, PROXY, fleet::settings::SECTION],
 };
 
 /// How balancers may ask.
@@ -335,6 +336,8 @@
     pub health: HealthSettings,
     /// The operator's socket.
     pub control: Option<ControlSettings>,
+    /// The fleet that it is a part of.
+    pub fleet: Option<FleetSettings>,
     /// Who may send a PROXY preface.
     pub gate: Gate,
     /// The file as it was checked, to compare and to print.
@@ -372,8 +375,13 @@
             socket: s.path("socket").map(PathBuf::from).unwrap_or_default(),
             mode: s.number("mode") as u32,
         });
+        let fleet = section("fleet").map(|s| FleetSettings::of(s, problems));
+        if let Some(place) = section("fleet").map(|s| s.place).filter(|_| control.is_none()) {
+            problems
+                .push(Problem::new(place, "section `fleet` wants section `control`, where its orders come"));
+        }
         let log = section("log").map(log_settings).unwrap_or_default();
-        Installation { log, messages, checks, health, control, gate, checked }
+        Installation { log, messages, checks, health, control, fleet, gate, checked }
     }
 
     /// Sets aside the descriptors that checks and orders need; says so if that leaves too few for clients.
@@ -383,10 +391,15 @@
             c.connections + listeners + usize::from(c.grpc.is_some())
         });
         // A listener and four connections.
-        let needed = checks + if self.control.is_some() { 5 } else { 0 };
+        let fleet = self.fleet.as_ref().map_or(0, FleetSettings::descriptors);
+        let needed = checks + fleet + if self.control.is_some() { 5 } else { 0 };
         match limits.clients.checked_sub(needed).filter(|left| *left >= 2) {
             Some(left) => limits.clients = left,
-            None => return Err(format!("{needed} descriptors for checks leave none for clients")),
+            None => {
+                return Err(format!(
+                    "{needed} descriptors for checks, orders and the fleet leave none for clients"
+                ))
+            }
         }
         Ok(())
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod config;
 pub mod core;
 pub mod dialect;
+pub mod duty;
+pub mod fleet;
 pub mod front;
 pub mod health;
 pub mod host;
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -15,13 +15,14 @@
 use tracing_subscriber::{fmt, reload, Layer, Registry};
 
 /// The parts that speak.
-pub const TARGETS: [&str; 11] = [
+pub const TARGETS: [&str; 12] = [
     "router",
     "request",
     "node",
     "node_list",
     "peers",
     "front",
+    "fleet",
     "checks",
     "drain",
     "control",
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -8,10 +8,12 @@
 
 use cli::{Command, Protocol};
 use tallypin_health::exit;
-use tallypin_router::checks::control::Control;
+use tallypin_router::checks::control::{Control, ToFleet};
 use tallypin_router::checks::{self, Board};
 use tallypin_router::config::Config;
 use tallypin_router::dialect::Dialect;
+use tallypin_router::duty::Router;
+use tallypin_router::fleet::{orders, Fleet};
 use tallypin_router::front::{self, Front};
 use tallypin_router::host::Host;
 use tallypin_router::installation::Installation;
@@ -134,6 +136,10 @@
     if let Some(control) = &installation.control {
         println!("orders at {}", control.socket.display());
     }
+    if let Some(fleet) = &installation.fleet {
+        let (of, b) = (fleet.routers.len(), &fleet.bounds);
+        println!("of fleet {}: {} of {of} routers may be out, {} of a zone", fleet.name, b.all, b.zone);
+    }
 }
 
 type Ended<T> = Result<T, Box<dyn std::error::Error>>;
@@ -171,9 +177,16 @@
         if installation.checks.is_some() || installation.control.is_some() {
             let started = Board::new(installation, host.outward.clone());
             _listening = Some(checks::start(&host, &started).await?);
+            let fleet = match installation.fleet.clone() {
+                Some(settings) => {
+                    let duty = Router { host: host.clone(), board: started.clone() };
+                    Some(to_fleet(Fleet::start(settings, Box::new(duty)).await?))
+                }
+                None => None,
+            };
             if let Some(control) = &installation.control {
                 let control = Control::bind(control).await?;
-                tokio::task::spawn_local(control.serve(host.clone(), started.clone()));
+                tokio::task::spawn_local(control.serve(host.clone(), started.clone(), fleet));
             }
             board = Some(started);
         }
@@ -195,6 +208,19 @@
     Ok(())
 }
 
+/// Orders from the socket to the fleet.
+fn to_fleet(fleet: Rc<Fleet>) -> ToFleet {
+    Rc::new(move |words| {
+        let fleet = fleet.clone();
+        Box::pin(async move {
+            match orders::read(&words.split_ascii_whitespace().collect::<Vec<_>>()) {
+                Ok((id, order)) => fleet.order(id, order).await,
+                Err(why) => serde_json::json!({"done": false, "why": why}),
+            }
+        })
+    })
+}
+
 /// Reads everything again; what is wrong, in lines.
 fn reread(settings: Option<&Path>) -> Result<(Config, Option<Installation>), Vec<String>> {
     let mut config = Config::reread(|name| std::env::var(name).ok()).map_err(|e| vec![e.to_string()])?;
--- a/router/tests/checks.rs
+++ b/router/tests/checks.rs
@@ -581,7 +581,7 @@
         let settings = ControlSettings { socket: socket.clone(), mode: 0o600 };
         let control = Control::bind(&settings).await.unwrap();
         assert_eq!(std::fs::metadata(&socket).unwrap().permissions().mode() & 0o777, 0o600);
-        let serving = spawn_local(control.serve(router.host.clone(), router.board.clone()));
+        let serving = spawn_local(control.serve(router.host.clone(), router.board.clone(), None));
         let again = Control::bind(&settings).await.err().expect("it is taken").to_string();
         assert!(again.contains("another router answers there"), "{again}");
         let ask = async |order: &str| -> serde_json::Value {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod balancer;
 pub mod checkers;
+pub mod relay;
