--- a/accord/tests/fleet.rs
+++ b/accord/tests/fleet.rs
@@ -92,7 +92,7 @@
         let zones = (0..n).map(|r| (r % 3) as u16).collect();
         let bounds = Bounds { zones, all: (n / 5).max(1), zone: (n / 10).max(1) };
         let ballot = Ballot { number: 1, by: 0, life: 0 };
-        let value = first(Document::default(), &vec![Some(0); COUNCIL]).expect("all blank");
+        let value = first(Document::default(), &[Some(0); COUNCIL]).expect("all blank");
         let routers = (0..n).map(|r| {
             let keeper = (r < COUNCIL).then(|| {
                 let mut keeper = Keeper::blank(0);
@@ -442,9 +442,8 @@
                 self.answered(by, from, &ask, answer, out);
             }
             Event::GiveUp(r, life, ballot) if self.routers[r].alive && self.routers[r].life == life => {
-                if self.routers[r].round.as_ref().is_some_and(|(round, ..)| round.ballot() == ballot) {
-                    self.ended(r, false);
-                }
+                let same = self.routers[r].round.as_ref().is_some_and(|(round, ..)| round.ballot() == ballot);
+                same.then(|| self.ended(r, false));
             }
             Event::Fault if !self.calm => self.fault(),
             Event::Order if !self.calm => self.order(),
