Ask once what was asked twice: a round's majority, and cold replicas' weight in a pick

Need: a read of the whole change found the same closure in the register's two steps, a power that does not depend on the candidate taken once for each cold one of a pick (up to 64), a getter without callers in members/, and a default of the settings without its source.

Change: Round::enough holds the majority check of promises and of votes; pick raises the share of warm replicas to its power once; Presence::life is gone; the default of fall_multiple says why it is under the protocol's 2.5. No behaviour changes.

--- a/accord/src/register.rs
+++ b/accord/src/register.rs
@@ -301,30 +301,28 @@
         }
     }
 
-    fn promised(&self) -> Step<D> {
-        let Some((_, newest)) = self.newest() else { return Step::Wait };
-        // What a member promised in a life that no longer counts, it may have forgotten.
+    /// Whether a majority has answered, in the lives that count. What a member promised in one that no longer counts, it
+    /// may have forgotten.
+    fn enough(&self, lives: &[u64]) -> bool {
         let valid = |(i, said): &(usize, &Option<Said<D>>)| {
             said.as_ref().is_some_and(|(life, _)| {
-                newest.lives.get(*i) == Some(life) || defect!(self, AnyLife) || defect!(self, NotBlank)
+                lives.get(*i) == Some(life) || defect!(self, AnyLife) || defect!(self, NotBlank)
             })
         };
-        match self.majority(self.answers.iter().enumerate().filter(valid).count()) {
-            true => Step::Change(newest.document.clone()),
-            false => Step::Wait,
+        self.majority(self.answers.iter().enumerate().filter(valid).count())
+    }
+
+    fn promised(&self) -> Step<D> {
+        match self.newest() {
+            Some((_, newest)) if self.enough(&newest.lives) => Step::Change(newest.document.clone()),
+            _ => Step::Wait,
         }
     }
 
     fn taken(&self) -> Step<D> {
-        let Some(value) = &self.value else { return Step::Wait };
-        let valid = |(i, said): &(usize, &Option<Said<D>>)| {
-            said.as_ref().is_some_and(|(life, _)| {
-                value.lives.get(*i) == Some(life) || defect!(self, AnyLife) || defect!(self, NotBlank)
-            })
-        };
-        match self.majority(self.answers.iter().enumerate().filter(valid).count()) {
-            true => Step::Agreed(value.clone()),
-            false => Step::Wait,
+        match &self.value {
+            Some(value) if self.enough(&value.lives) => Step::Agreed(value.clone()),
+            _ => Step::Wait,
         }
     }
 
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -101,11 +101,6 @@
         true
     }
 
-    /// The life of a router that was heard last.
-    pub fn life(&self, of: Place) -> Option<u64> {
-        self.heard.get(usize::from(of)).copied().flatten().map(|h| h.life)
-    }
-
     /// What is believed of a router.
     pub fn standing(&self, now: Nanos, of: Place) -> Standing {
         let heard = self.heard.get(usize::from(of)).copied().flatten();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -564,7 +564,7 @@
             }
         }
         let crowded = self.fleet.ejected as f64 > EJECT_SHARE * self.members.ready.all().len() as f64;
-        let warm = 1.0 - cold.len() as f64 / self.members.ready.all().len() as f64;
+        let spared = (1.0 - cold.len() as f64 / self.members.ready.all().len() as f64).powi(EARLY);
         let mut chosen: Option<(f64, Pick)> = None;
         for &(i, unread) in &found {
             // A replica that has just started keeps little, home or not, but what it is known to hold.
@@ -595,7 +595,7 @@
             // The more are cold, the more the others carry, and that shows only once they queue: so reading
             // at a cold one counts for less, where it still begins within the aim.
             let early = self.is_cold(now, c) && base + read / self.warmth(now, c) < aim;
-            let reading = if early { read * warm.powi(EARLY) } else { read };
+            let reading = if early { read * spared } else { read };
             let rank = estimate::ranked(smoothed, aim, c.open) + reading + cross + queued;
             let pick = Pick { replica: i, unread, wait };
             // Ties are broken at random.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -88,6 +88,7 @@
             answer_slack_ns: 0,
             cold_ns: 30 * SECOND,
             cold_share: 0.1,
+            // Under the 2.5 of the protocol's example: who states none may have less.
             fall_multiple: 2.0,
             fall_ns: 2 * SECOND,
             must_ask_in_ns: 10 * SECOND,
