--- a/accord/src/leave.rs
+++ b/accord/src/leave.rs
@@ -45,6 +45,8 @@
     GoOut,
     /// To serve again.
     Serve,
+    /// Once it is drained: to put the file of this digest in its place, and end.
+    Swap(String),
 }
 
 /// One router's own part.
@@ -69,29 +71,43 @@
         now.saturating_sub(asked) < self.figures.lease
     }
 
-    /// What to do, by the newest document known here.
-    pub fn next(&self, now: Nanos, document: &Document, own: Own) -> Next {
-        let entry = document.entries.get(&self.me).map(|e| e.stage);
-        match (entry, own) {
+    /// What to do, by the newest document known here. `runs`: the digest of what it runs, of the kind that is being
+    /// released; `None`: its settings have no such file.
+    pub fn next(&self, now: Nanos, document: &Document, own: Own, runs: Option<&str>) -> Next {
+        let entry = document.entries.get(&self.me);
+        let to = entry.and_then(|e| e.to.as_deref());
+        let (me, mine) = (self.me, self.life);
+        match (entry.map(|e| e.stage), own) {
+            (Some(Stage::Wanted), _) if to.is_some() && to == runs => Next::Ask(Act::Has(me)),
             (Some(Stage::Wanted), Own::Serving) if document.halted.is_none() => {
                 let soon = self.refused.is_some_and(|at| now.saturating_sub(at) < self.figures.again);
-                if soon {
-                    Next::Rest
-                } else {
-                    Next::Ask(Act::Leave(self.me, self.life))
+                match (to, runs) {
+                    _ if soon => Next::Rest,
+                    (None, _) => Next::Ask(Act::Leave(me, mine)),
+                    (Some(_), Some(runs)) => Next::Ask(Act::LeaveFrom(me, mine, runs.into())),
+                    (Some(_), None) => {
+                        Next::Ask(Act::Unfit(me, "its settings have no such file to release".into()))
+                    }
                 }
             }
-            (Some(Stage::Leave(life)), Own::Serving) if life == self.life => {
+            (Some(Stage::Leave(life)), Own::Serving) if life == mine => {
                 match self.asked.is_some_and(|at| self.good(now, at)) {
                     true => Next::GoOut,
-                    false => Next::Ask(Act::GiveUp(self.me, life)),
+                    false => Next::Ask(Act::GiveUp(me, life)),
                 }
             }
-            (Some(Stage::Leave(life)), Own::Out) if life == self.life => Next::Ask(Act::Going(self.me, life)),
+            (Some(Stage::Leave(life)), Own::Out) if life == mine => Next::Ask(Act::Going(me, life)),
+            (Some(Stage::Out(life)), Own::Out) if life == mine => {
+                to.map_or(Next::Rest, |d| Next::Swap(d.into()))
+            }
             (Some(Stage::Back(_)), Own::Out) => Next::Serve,
-            (Some(Stage::Back(_)), Own::Serving) => Next::Ask(Act::Serves(self.me, self.life)),
-            (Some(Stage::Leave(life) | Stage::Out(life)), Own::Serving) if life != self.life => {
-                Next::Ask(Act::Serves(self.me, self.life))
+            (Some(Stage::Back(_)), Own::Serving) => Next::Ask(Act::Serves(me, mine)),
+            (Some(Stage::Leave(life) | Stage::Out(life)), Own::Serving) if life != mine => {
+                Next::Ask(if to.is_none() || to == runs {
+                    Act::Serves(me, mine)
+                } else {
+                    Act::Again(me, mine)
+                })
             }
             _ => Next::Rest,
         }
@@ -99,7 +115,7 @@
 
     /// What became of a change that was asked for at `at`, before it was sent.
     pub fn asked(&mut self, at: Nanos, now: Nanos, act: &Act, done: bool) {
-        if matches!(act, Act::Leave(..)) {
+        if matches!(act, Act::Leave(..) | Act::LeaveFrom(..)) {
             self.asked = done.then_some(at);
             self.refused = (!done).then_some(now);
         }
@@ -123,7 +139,7 @@
 
     fn with(stage: Stage) -> Document {
         let mut doc = Document::default();
-        doc.entries.insert(3, Entry { stage, order: "d".into() });
+        doc.entries.insert(3, Entry { stage, order: "d".into(), to: None, tries: 0 });
         doc
     }
 
@@ -131,15 +147,19 @@
     fn a_leave_is_used_within_its_time_and_given_up_after_it() {
         let mut l = Leaver::new(FIGURES, 3, 9);
         let ask = Act::Leave(3, 9);
-        assert_eq!(l.next(S, &with(Stage::Wanted), Own::Serving), Next::Ask(ask.clone()));
+        assert_eq!(l.next(S, &with(Stage::Wanted), Own::Serving, None), Next::Ask(ask.clone()));
         l.asked(S, 2 * S, &ask, true);
         let granted = with(Stage::Leave(9));
-        assert_eq!(l.next(5 * S, &granted, Own::Serving), Next::GoOut);
-        assert_eq!(l.next(6 * S, &granted, Own::Serving), Next::Ask(Act::GiveUp(3, 9)), "stopped in between");
-        assert_eq!(l.next(6 * S, &granted, Own::Out), Next::Ask(Act::Going(3, 9)), "it went in time");
+        assert_eq!(l.next(5 * S, &granted, Own::Serving, None), Next::GoOut);
+        assert_eq!(
+            l.next(6 * S, &granted, Own::Serving, None),
+            Next::Ask(Act::GiveUp(3, 9)),
+            "stopped in between"
+        );
+        assert_eq!(l.next(6 * S, &granted, Own::Out, None), Next::Ask(Act::Going(3, 9)), "it went in time");
         let unasked = Leaver::new(FIGURES, 3, 9);
         assert_eq!(
-            unasked.next(S, &granted, Own::Serving),
+            unasked.next(S, &granted, Own::Serving, None),
             Next::Ask(Act::GiveUp(3, 9)),
             "it does not know since when"
         );
@@ -149,24 +169,24 @@
     fn a_refused_leave_is_asked_for_again_later_and_not_while_halted() {
         let mut l = Leaver::new(FIGURES, 3, 9);
         l.asked(S, S, &Act::Leave(3, 9), false);
-        assert_eq!(l.next(S + S / 2, &with(Stage::Wanted), Own::Serving), Next::Rest);
-        assert!(matches!(l.next(2 * S, &with(Stage::Wanted), Own::Serving), Next::Ask(_)));
+        assert_eq!(l.next(S + S / 2, &with(Stage::Wanted), Own::Serving, None), Next::Rest);
+        assert!(matches!(l.next(2 * S, &with(Stage::Wanted), Own::Serving, None), Next::Ask(_)));
         let halted = Document { halted: Some("x".into()), ..with(Stage::Wanted) };
-        assert_eq!(l.next(9 * S, &halted, Own::Serving), Next::Rest);
+        assert_eq!(l.next(9 * S, &halted, Own::Serving, None), Next::Rest);
     }
 
     #[test]
     fn a_router_comes_back_by_order_or_by_starting_anew() {
         let l = Leaver::new(FIGURES, 3, 9);
-        assert_eq!(l.next(S, &with(Stage::Back(9)), Own::Out), Next::Serve);
-        assert_eq!(l.next(S, &with(Stage::Back(9)), Own::Serving), Next::Ask(Act::Serves(3, 9)));
+        assert_eq!(l.next(S, &with(Stage::Back(9)), Own::Out, None), Next::Serve);
+        assert_eq!(l.next(S, &with(Stage::Back(9)), Own::Serving, None), Next::Ask(Act::Serves(3, 9)));
         assert_eq!(
-            l.next(S, &with(Stage::Out(8)), Own::Serving),
+            l.next(S, &with(Stage::Out(8)), Own::Serving, None),
             Next::Ask(Act::Serves(3, 9)),
             "another life went"
         );
-        assert_eq!(l.next(S, &with(Stage::Out(9)), Own::Out), Next::Rest);
-        assert_eq!(l.next(S, &Document::default(), Own::Serving), Next::Rest);
+        assert_eq!(l.next(S, &with(Stage::Out(9)), Own::Out, None), Next::Rest);
+        assert_eq!(l.next(S, &Document::default(), Own::Serving, None), Next::Rest);
     }
 
     #[test]
--- a/accord/src/register.rs
+++ b/accord/src/register.rs
@@ -53,7 +53,7 @@
     Prepare(Ballot),
     /// To take a value.
     Take(Ballot, Value<D>),
-    /// To take the first of all values, if it is blank.
+    /// To take the first of all values, if nothing was heard since it was asked with this number.
     Found(Ballot, Value<D>),
 }
 
@@ -161,16 +161,22 @@
     pub fn asked(&mut self, ask: Ask<D>) -> Answer<D> {
         match ask {
             Ask::Found(ballot, value) => {
-                // One that was sent to an earlier life of this member names that life, not this one.
-                let fresh = !self.joined && self.taken.is_none() && value.lives.contains(&self.life);
-                if fresh {
-                    (self.joined, self.promised, self.taken) = (true, ballot, Some((ballot, value)));
+                // It was decided by what all said when they were asked with this number: whoever has heard anything since,
+                // or is another life by now, does not take it.
+                if ballot == self.promised && value.lives.contains(&self.life) {
+                    (self.joined, self.taken) = (true, Some((ballot, value)));
                 }
                 match self.taken.as_ref().is_some_and(|(b, _)| *b == ballot) {
                     true => Answer::Taken { life: self.life },
                     false => Answer::Newer(self.promised),
                 }
             }
+            // It promises as well, though that counts for nothing but `Found`.
+            Ask::Prepare(ballot) if !self.joined && ballot >= self.promised => {
+                self.promised = ballot;
+                Answer::Blank { life: self.life }
+            }
+            Ask::Prepare(_) if !self.joined => Answer::Newer(self.promised),
             _ if !self.joined => Answer::Blank { life: self.life },
             Ask::Look => Answer::Has { life: self.life, taken: self.taken.clone() },
             Ask::Prepare(ballot) => {
@@ -195,7 +201,8 @@
     /// A round that named this life has been agreed on without it: from now on it takes part.
     pub fn join(&mut self, ballot: Ballot, value: Value<D>) {
         if !self.joined && value.lives.contains(&self.life) {
-            (self.joined, self.promised, self.taken) = (true, ballot, Some((ballot, value)));
+            (self.joined, self.promised, self.taken) =
+                (true, self.promised.max(ballot), Some((ballot, value)));
         }
     }
 }
@@ -357,11 +364,21 @@
     })
 }
 
-/// The first value of all, by the first member of the council: every member is asked whether it is blank, then to take
-/// it. `None` unless all are.
-pub fn first<D>(document: D, blank: &[Option<u64>]) -> Option<Value<D>> {
-    let lives: Option<Vec<u64>> = blank.iter().copied().collect();
-    Some(Value { lives: lives?, document })
+/// What the first member of the council has all members take when too few of them remember to agree on anything ever
+/// again: `told` by member is its life, and what it took last if it is not blank. `None` while a majority remembers, or
+/// one has not answered. What is kept is the newest that any of them has: it may be older than what was agreed on last,
+/// so whoever calls this makes it one by which nothing begins.
+pub fn first<D: Clone>(told: &Told<D>, document: impl FnOnce(Option<&D>) -> D) -> Option<Value<D>> {
+    let told: Option<Vec<&Said<D>>> = told.iter().map(Option::as_ref).collect();
+    let told = told?;
+    let newest = told.iter().filter_map(|(_, taken)| taken.as_ref()).max_by_key(|(ballot, _)| *ballot);
+    let remember =
+        |lives: &[u64]| told.iter().zip(lives).filter(|((life, t), of)| life == *of && t.is_some()).count();
+    if newest.is_some_and(|(_, value)| remember(&value.lives) * 2 > told.len()) {
+        return None;
+    }
+    let lives = told.iter().map(|(life, _)| *life).collect();
+    Some(Value { lives, document: document(newest.map(|(_, value)| &value.document)) })
 }
 
 #[cfg(test)]
@@ -372,9 +389,11 @@
 
     fn founded(n: usize) -> Members {
         let mut all: Members = (0..n as u64).map(Keeper::blank).collect();
-        let value = first(0, &(0..n as u64).map(Some).collect::<Vec<_>>()).expect("all are blank");
+        let blank: Vec<_> = (0..n as u64).map(|life| Some((life, None))).collect();
+        let value = first(&blank, |_| 0).expect("all are blank");
         let ballot = Ballot { number: 1, by: 0, life: 0 };
         for m in &mut all {
+            assert!(matches!(m.asked(Ask::Prepare(ballot)), Answer::Blank { .. }));
             assert_eq!(m.asked(Ask::Found(ballot, value.clone())), Answer::Taken { life: m.life });
         }
         all
@@ -436,12 +455,41 @@
     }
 
     #[test]
-    fn the_first_value_wants_all_members_and_all_blank() {
-        assert_eq!(first(0, &[Some(1), None, Some(3)]), None::<Value<u64>>);
+    fn the_first_value_wants_all_members_and_no_majority_that_remembers() {
+        assert_eq!(
+            first(&[Some((1, None)), None, Some((3, None))], |_| 0),
+            None::<Value<u64>>,
+            "one has not answered"
+        );
         let mut all = founded(3);
-        let other = Value { lives: vec![0, 1, 2], document: 77 };
-        let again = all[1].asked(Ask::Found(ballot(9, 1), other));
-        assert_eq!(again, Answer::Newer(ballot(1, 0)), "it is not blank any more");
-        assert_eq!(all[1].taken().map(|v| v.document), Some(0));
+        let told = |all: &[Keeper<u64>]| -> Vec<Option<Said<u64>>> {
+            all.iter().map(|m| Some((m.life, m.taken.clone()))).collect()
+        };
+        assert!(matches!(play(&mut all, Round::new(ballot(2, 1), 3), &[1, 2, 0]), Step::Agreed(_)));
+        all[0] = Keeper::blank(8);
+        assert_eq!(first(&told(&all), |_| 0), None, "two of three remember");
+        // Two have forgotten: the third's word is kept, and nothing is agreed on but by all.
+        all[1] = Keeper::blank(9);
+        assert_eq!(play(&mut all, Round::new(ballot(5, 2), 3), &[0, 1, 2]), Step::Wait);
+        let value =
+            first(&told(&all), |held| held.copied().unwrap_or(0) + 100).expect("one of three remembers");
+        assert_eq!(value, Value { lives: vec![8, 9, 2], document: 101 });
+        let unasked = Ask::Found(ballot(6, 0), value.clone());
+        assert!(
+            all.iter_mut().all(|m| m.asked(unasked.clone()) == Answer::Newer(ballot(5, 2))),
+            "none was asked"
+        );
+        all.iter_mut().for_each(|m| drop(m.asked(Ask::Prepare(ballot(6, 0)))));
+        // One hears another since: it does not take what was decided before, and the others have taken it in vain.
+        all[2].asked(Ask::Prepare(ballot(7, 1)));
+        let found = |n: u64, value: &Value<u64>| Ask::Found(ballot(n, 0), value.clone());
+        assert_eq!(all[2].asked(found(6, &value)), Answer::Newer(ballot(7, 1)));
+        all.iter_mut().for_each(|m| drop(m.asked(Ask::Prepare(ballot(8, 0)))));
+        assert!(all.iter_mut().all(|m| matches!(m.asked(found(8, &value)), Answer::Taken { .. })));
+        let Step::Agreed(now) = play(&mut all, Round::new(ballot(9, 1), 3), &[1, 2]) else { panic!() };
+        assert_eq!(now.document, 102);
+        let late = Value { lives: vec![0, 9, 2], document: 77 };
+        let late = all[1].asked(found(99, &late));
+        assert_eq!((late, all[1].taken().map(|v| v.document)), (Answer::Newer(ballot(9, 1)), Some(102)));
     }
 }
--- a/accord/tests/fleet.rs
+++ b/accord/tests/fleet.rs
@@ -21,6 +21,7 @@
 /// A round that has not ended within this is given up.
 const ROUND: Nanos = 2 * S;
 
+#[allow(clippy::large_enum_variant)] // Some hundreds at a time.
 enum Event {
     Beat(usize, u64),
     Heard {
@@ -90,12 +91,20 @@
 impl World {
     fn new(seed: u64, n: usize) -> World {
         let zones = (0..n).map(|r| (r % 3) as u16).collect();
-        let bounds = Bounds { zones, all: (n / 5).max(1), zone: (n / 10).max(1) };
+        let bounds = Bounds {
+            names: vec![],
+            zones,
+            all: (n / 5).max(1),
+            zone: (n / 10).max(1),
+            council: (0..COUNCIL as u16).collect(),
+            nodes: None,
+        };
         let ballot = Ballot { number: 1, by: 0, life: 0 };
-        let value = first(Document::default(), &[Some(0); COUNCIL]).expect("all blank");
+        let value = first(&vec![Some((0, None)); COUNCIL], |_| Document::default()).expect("all blank");
         let routers = (0..n).map(|r| {
             let keeper = (r < COUNCIL).then(|| {
                 let mut keeper = Keeper::blank(0);
+                keeper.asked(Ask::Prepare(ballot));
                 keeper.asked(Ask::Found(ballot, value.clone()));
                 keeper
             });
@@ -199,8 +208,8 @@
         }
         let Some(known) = self.routers[r].known.clone() else { return };
         let router = &self.routers[r];
-        match router.leaver.next(self.now, &known, router.own) {
-            Next::Rest => {}
+        match router.leaver.next(self.now, &known, router.own, None) {
+            Next::Rest | Next::Swap(_) => {}
             Next::GoOut => self.go_out(r, &known),
             Next::Serve => self.routers[r].own = Own::Serving,
             Next::Ask(act) => self.begin(r, act),
--- a/accord/tests/net.rs
+++ b/accord/tests/net.rs
@@ -49,11 +49,12 @@
 impl Net {
     fn new(seed: u64, members: usize, defect: Option<Defect>) -> Net {
         let lives: Vec<u64> = (0..members as u64).collect();
-        let value =
-            first(History::new(), &lives.iter().map(|l| Some(*l)).collect::<Vec<_>>()).expect("all blank");
+        let value = first(&lives.iter().map(|l| Some((*l, None))).collect::<Vec<_>>(), |_| History::new())
+            .expect("all blank");
         let mut all: Vec<Keeper<History>> = lives.iter().map(|&l| Keeper::blank(l)).collect();
         let ballot = Ballot { number: 1, by: 0, life: 0 };
         for m in &mut all {
+            m.asked(Ask::Prepare(ballot));
             m.asked(Ask::Found(ballot, value.clone()));
             *m = m.clone().with(defect);
         }
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -115,6 +115,21 @@
         }
     }
 
+    /// Whether a router has said that it ends, and has not been heard for a whole term since: nothing of it runs.
+    pub fn gone(&self, now: Nanos, of: Place) -> bool {
+        let heard = self.heard.get(usize::from(of)).copied().flatten();
+        heard.is_some_and(|h| h.says == Says::Ending && now.saturating_sub(h.at) > self.figures.silent)
+    }
+
+    /// The life in which a router was heard last, if it is not silent, and whether it serves.
+    pub fn here(&self, now: Nanos, of: Place) -> Option<(u64, bool)> {
+        let heard = self.heard.get(usize::from(of)).copied().flatten()?;
+        match self.standing(now, of) {
+            Standing::Here(says) => Some((heard.life, says == Says::Serving)),
+            _ => None,
+        }
+    }
+
     /// All routers that count as out.
     pub fn out(&mut self, now: Nanos) -> Vec<Place> {
         self.look(now);
@@ -165,6 +180,8 @@
         assert!(p.beat(S, 0, 8, Says::Starting));
         assert!(!p.beat(S, 0, 7, Says::Serving), "late, of the life before");
         assert_eq!(p.standing(S, 0), Standing::Here(Says::Starting));
+        assert_eq!((p.here(S, 0), p.here(S, 1)), (Some((8, false)), None));
+        assert!(p.beat(S, 0, 8, Says::Ending) && !p.gone(2 * S, 0) && p.gone(4 * S, 0));
         assert!(!p.beat(S, 5, 1, Says::Serving), "of no router of the fleet");
     }
 
--- /dev/null
+++ b/router/src/by_hand.rs
@@ -0,0 +1,89 @@
+//! Model nodes that are out by hand, laid over the list: whatever the list says of one, it takes nothing new; when it is
+//! put back it comes back cold, as one that has just started. No input or output.
+
+use rustc_hash::{FxHashMap, FxHashSet};
+use tallypin::api::{ListKind, Nanos, ReplicaId, ReplicaRow, ReplicaState};
+
+/// The list as it came, and what is laid over it. Bounded as the list is.
+#[derive(Debug, Default)]
+pub struct Listed {
+    rows: FxHashMap<ReplicaId, ReplicaRow>,
+    out: FxHashSet<ReplicaId>,
+    back: FxHashMap<ReplicaId, Nanos>,
+}
+
+impl Listed {
+    /// The rows as they came.
+    pub fn rows(&self) -> impl Iterator<Item = &ReplicaRow> {
+        self.rows.values()
+    }
+
+    /// News of the list: the rows as the module is to have them.
+    pub fn told(&mut self, kind: ListKind, rows: Vec<ReplicaRow>) -> Vec<ReplicaRow> {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.rows.clear();
+        }
+        for row in &rows {
+            match row.state {
+                ReplicaState::Gone => drop(self.rows.remove(&row.replica)),
+                _ => drop(self.rows.insert(row.replica, row.clone())),
+            }
+        }
+        rows.into_iter().map(|row| self.laid(row)).collect()
+    }
+
+    /// What is out and what was put back, from now on: the rows that are otherwise now.
+    pub fn by_hand(&mut self, out: &[ReplicaId], back: &[(ReplicaId, Nanos)]) -> Vec<ReplicaRow> {
+        let before: Vec<ReplicaRow> = self.rows.values().map(|row| self.laid(row.clone())).collect();
+        self.out = out.iter().copied().collect();
+        self.back = back.iter().copied().collect();
+        let now = before.into_iter().filter_map(|was| {
+            let row = self.laid(self.rows.get(&was.replica)?.clone());
+            (row != was).then_some(row)
+        });
+        now.collect()
+    }
+
+    fn laid(&self, mut row: ReplicaRow) -> ReplicaRow {
+        if row.state == ReplicaState::Ready && self.out.contains(&row.replica) {
+            row.state = ReplicaState::Draining;
+        }
+        // Rule 4 goes by the time of the start: the same at all routers, as they read it from what they agree on. One that
+        // has really started since is as cold as that makes it.
+        if let Some(at) = self.back.get(&row.replica) {
+            row.last_start = row.last_start.max(*at);
+        }
+        row
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn row(id: u64, state: ReplicaState, last_start: Nanos) -> ReplicaRow {
+        ReplicaRow { replica: ReplicaId(id), state, last_start, ..ReplicaRow::default() }
+    }
+
+    #[test]
+    fn what_is_out_by_hand_stays_so_whatever_the_list_says_and_comes_back_as_just_started() {
+        use ReplicaState::{Draining, Gone, Ready};
+        let mut l = Listed::default();
+        let all = vec![row(1, Ready, 5), row(2, Ready, 5)];
+        assert_eq!(l.told(ListKind::Full, all.clone()), all, "nothing is laid over it");
+        assert_eq!(l.by_hand(&[ReplicaId(1), ReplicaId(9)], &[]), [row(1, Draining, 5)]);
+        assert_eq!(l.by_hand(&[ReplicaId(1), ReplicaId(9)], &[]), [], "once");
+        // It starts again, elsewhere: it is still out. Another that takes its address is another.
+        assert_eq!(l.told(ListKind::Delta, vec![row(1, Ready, 8)]), [row(1, Draining, 8)]);
+        assert_eq!(l.told(ListKind::Full, vec![row(1, Ready, 8), row(3, Ready, 1)])[1], row(3, Ready, 1));
+        assert_eq!(l.by_hand(&[], &[(ReplicaId(1), 20)]), [row(1, Ready, 20)]);
+        assert_eq!(
+            l.told(ListKind::Delta, vec![row(1, Ready, 8)]),
+            [row(1, Ready, 20)],
+            "no start by the list's word"
+        );
+        assert_eq!(l.told(ListKind::Delta, vec![row(1, Ready, 30)]), [row(1, Ready, 30)], "a real one");
+        assert_eq!(l.told(ListKind::Delta, vec![row(1, Gone, 30)]), [row(1, Gone, 30)]);
+        assert_eq!((l.by_hand(&[ReplicaId(1)], &[]), l.rows().count()), (vec![], 1));
+    }
+}
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -7,6 +7,7 @@
 use lexopt::prelude::*;
 use tallypin_conf::{nearest, Kind, Value as Read};
 use tallypin_health::exit::Style;
+use tallypin_router::fleet::plan;
 
 /// How to ask a router for its state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +50,11 @@
         /// How long to wait.
         timeout: Duration,
     },
+    /// Follow what the fleet agrees on.
+    Watch {
+        /// A router's socket.
+        socket: PathBuf,
+    },
     /// Give a router an order.
     Ctl {
         /// Its socket.
@@ -138,10 +144,14 @@
 and prints the answer, one line of JSON. An order with an id runs at most once, whoever sends it how often.
   status               what is agreed on: who is out, or is to go, and whether it is halted
   drain ROUTER..       these go out, as many at a time as the bounds let, each by a leave of its own
-  put-back ROUTER..    these come back
+  take-out NODE.. [for TIME]  nothing new is sent to these model nodes, for so long at the most
+  put-back ROUTER|NODE..      these come back; a model node as one that has just started
+  release PLAN         a file goes to the routers in the plan's waves, each watched before the next
+  back [CAUSE]         the release is undone, wave by wave, the last one first
+  watch                a line for each change, until the release that is on has ended
   halt [CAUSE]         nobody begins to go out; answered when that is certain
   resume               it goes on
-exit codes: 0 agreed on; 1 not, or no majority of the council answered in time
+exit codes: 0 agreed on, or a watched release is done; 1 not, no majority answered in time, or it failed or was undone
 "
         .into(),
         Some("settings") => format!(
@@ -225,10 +235,21 @@
             tallypin_router::checks::control::read(&order)?;
             Command::Ctl { socket, order }
         }
+        "fleet" if words == ["watch"] => {
+            Command::Watch { socket: socket.ok_or_else(|| missing("--socket PATH"))? }
+        }
         "fleet" => {
             let socket = socket.ok_or_else(|| missing("--socket PATH"))?;
             let id = id.map(|id| format!("id {id} ")).unwrap_or_default();
-            let order = format!("{id}{}", words.join(" "));
+            let order = match &words[..] {
+                [release, path] if release == "release" => {
+                    let plan = plan::read(path.as_ref(), &|path| std::fs::read_to_string(path));
+                    let plan = plan.map_err(|problems| problems.to_string())?;
+                    format!("{id}release {}", serde_json::to_string(&plan).map_err(|e| e.to_string())?)
+                }
+                [release, ..] if release == "release" => return Err("release wants one plan, a file".into()),
+                _ => format!("{id}{}", words.join(" ")),
+            };
             tallypin_router::fleet::orders::read(&order.split_ascii_whitespace().collect::<Vec<_>>())?;
             Command::Ctl { socket, order: format!("fleet {order}") }
         }
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -10,6 +10,8 @@
 use tallypin::view::Seen;
 use tallypin::Balancer;
 
+use crate::by_hand::Listed;
+
 /// A request as a front hands it in.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Ask {
@@ -176,6 +178,10 @@
     last_id: u64,
     orders: Vec<Order>,
     actions: Vec<Action>,
+    /// The list, and what of it is out by hand.
+    listed: Listed,
+    /// Streams that began after more than half of the time that their client waits.
+    late: u64,
     /// What the core itself has to tell the module.
     news: VecDeque<Event>,
     tallies: Tallies,
@@ -195,6 +201,8 @@
             last_id: 0,
             orders: Vec::new(),
             actions: Vec::new(),
+            listed: Listed::default(),
+            late: 0,
             news: VecDeque::new(),
             tallies: Tallies::default(),
         })
@@ -238,6 +246,8 @@
         }
         open.bound = Some(attempt);
         self.tallies.begun += 1;
+        let waits = open.deadline.saturating_sub(open.taken);
+        self.late += u64::from(now.saturating_sub(open.taken) > waits / 2);
         let after = now.saturating_sub(begun);
         self.tell(now, Event::FirstToken { request: id, attempt, after });
         self.close_attempts(now, id, Some(attempt));
@@ -286,9 +296,28 @@
 
     /// News of the node list.
     pub fn list(&mut self, now: Nanos, kind: ListKind, rows: Vec<ReplicaRow>) {
+        let rows = self.listed.told(kind, rows);
         self.tell(now, Event::List { kind, rows });
     }
 
+    /// Which model nodes are out by hand, and which were put back and when, from now on.
+    pub fn by_hand(&mut self, now: Nanos, out: &[ReplicaId], back: &[(ReplicaId, Nanos)]) {
+        let rows = self.listed.by_hand(out, back);
+        if !rows.is_empty() {
+            self.tell(now, Event::List { kind: ListKind::Delta, rows });
+        }
+    }
+
+    /// Streams that began after more than half of the time that their client waits.
+    pub fn late(&self) -> u64 {
+        self.late
+    }
+
+    /// The rows of the list as they came, whatever is out by hand.
+    pub fn listed(&self) -> impl Iterator<Item = &ReplicaRow> {
+        self.listed.rows()
+    }
+
     /// Another router has said something.
     pub fn peer(&mut self, now: Nanos, from: PeerId, bytes: Vec<u8>) {
         self.tell(now, Event::Peer { from, bytes });
--- a/router/src/duty.rs
+++ b/router/src/duty.rs
@@ -1,14 +1,24 @@
-//! What the fleet has this router do: it drains by the plan that balancers are told of, and serves again.
+//! What the fleet has this router do: it drains by the plan that balancers are told of, serves again, ends to start anew
+//! with another file, and sends nothing new to model nodes that are out by order.
 
+use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::rc::Rc;
 
+use rustc_hash::FxHashMap;
+use tallypin::api::{Nanos, ReplicaState};
+use tallypin::names;
+use tallypin_accord::nodes::{NodeSeen, UnixMs};
+use tallypin_accord::watch::Counts;
 use tallypin_health::plan::{Phase, Wish};
 use tallypin_health::state::{Order, State};
 use tallypin_members::Says;
 
 use crate::checks::{signals, Board};
+use crate::config::Config;
 use crate::fleet::Duty;
 use crate::host::Host;
+use crate::installation::Installation;
 
 /// A router with its board.
 pub struct Router {
@@ -16,6 +26,8 @@
     pub host: Rc<Host>,
     /// What balancers are told.
     pub board: Rc<Board>,
+    /// Its settings file, for names in errors.
+    pub settings: PathBuf,
 }
 
 impl Router {
@@ -37,11 +49,83 @@
         self.want(Wish::Serve, Order::Ready)
     }
 
+    fn drained(&self) -> bool {
+        // Streams that were taken before are finished: the end itself waits for them as well.
+        self.board.phase() == Phase::Drained && self.host.with(|core, _| core.open()) == 0
+    }
+
+    fn end(&self) {
+        self.want(Wish::End, Order::Drain);
+    }
+
     fn says(&self) -> Says {
         match (self.board.phase(), self.board.assessment().state) {
             (Phase::Closing, _) => Says::Ending,
+            // It has just started, or has lost all: whoever came would be turned away.
+            (Phase::Serving, _) if self.host.nodes.ready() == 0 => Says::Starting,
             (Phase::Serving, State::Up | State::Degraded) => Says::Serving,
             _ => Says::Draining,
         }
     }
+
+    fn counts(&self) -> Counts {
+        let (t, late) = self.host.with(|core, _| (core.tallies().clone(), core.late()));
+        Counts {
+            answered: t.served + t.broken + t.refused + t.failed,
+            failed: t.failed + t.broken,
+            late,
+            refused: t.refused - t.refused_share,
+        }
+    }
+
+    fn nodes(&self) -> Option<BTreeMap<String, NodeSeen>> {
+        let host = &self.host;
+        if !host.list_fresh() {
+            return None;
+        }
+        let word = |words: &[String], at: u32| words.get(at as usize).cloned().unwrap_or_default();
+        let (rows, view) =
+            host.with(|core, now| (core.listed().cloned().collect::<Vec<_>>(), core.view(now)));
+        let seen: FxHashMap<_, bool> =
+            view.into_iter().map(|s| (s.replica, s.cold || s.excluded > 0)).collect();
+        let nodes = rows.into_iter().map(|row| {
+            let out = row.state != ReplicaState::Ready || seen.get(&row.replica) == Some(&true);
+            let (zone, kind) =
+                (word(&host.deployment.zones, row.zone.0), word(&host.deployment.kinds, row.kind));
+            (host.nodes.named(row.replica).to_string(), NodeSeen { zone, kind, out })
+        });
+        Some(nodes.collect())
+    }
+
+    fn by_hand(&self, out: &[String], back: &[(String, UnixMs)]) {
+        let out: Vec<_> = out.iter().map(|id| names::node(id)).collect();
+        let ns = |ms: UnixMs| -> Nanos { ms.saturating_mul(1_000_000) };
+        self.host.with(|core, now| {
+            // A clock that is ahead of ours makes no node colder than one that starts now.
+            let back: Vec<_> = back.iter().map(|(id, at)| (names::node(id), ns(*at).min(now))).collect();
+            core.by_hand(now, &out, &back);
+        });
+    }
+
+    fn open_at(&self, node: &str) -> bool {
+        self.host.nodes.out(names::node(node)) > 0
+    }
+
+    fn fit(&self, what: &str, text: &[u8]) -> Result<(), String> {
+        let words = || std::str::from_utf8(text).map_err(|_| "not text".to_string());
+        match what {
+            "settings" => {
+                let text = words()?;
+                let read = |path: &std::path::Path| match path == self.settings {
+                    true => Ok(text.to_string()),
+                    false => std::fs::read_to_string(path),
+                };
+                let read = Installation::read_by(&self.settings, &self.host.deployment, &read);
+                read.map(drop).map_err(|p| p.short().next().unwrap_or_else(|| "not understood".into()))
+            }
+            "configuration" => Config::parse(words()?).map(drop).map_err(|e| e.to_string()),
+            // Of a program nothing is known before it starts.
+            _ => Ok(()),
+        }
+    }
 }
--- /dev/null
+++ b/router/src/fleet/conduct.rs
@@ -0,0 +1,79 @@
+//! What members of the council ask for on behalf of all: the next wave of a release or its end, model nodes that are to go
+//! out or whose time has come. Each member could; one asks first, the others after it, if it does not.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tallypin_accord::document::{Act, Document};
+use tallypin_accord::nodes::NodeStage;
+use tallypin_accord::watch::{Heard, Watch};
+use tallypin_members::{Nanos, Place};
+use tokio::time::sleep;
+
+use super::{now_ms, Failed, Fleet};
+
+/// Beats between the turns of two members: guards against all that ask for the same at once and overtake each other.
+const TURN: u64 = 4;
+
+impl Fleet {
+    /// Ends never.
+    pub(super) async fn conduct(self: Rc<Self>) {
+        let every = self.settings.members.every;
+        let place = self.settings.council.iter().position(|&p| p == self.settings.me).unwrap_or(0) as u64;
+        let round = self.settings.council.len() as u64 * TURN * every;
+        let mut watch = Watch::default();
+        // By what is wanted: when it is this member's turn to ask for it.
+        let mut turns: BTreeMap<String, Nanos> = BTreeMap::new();
+        loop {
+            sleep(Duration::from_nanos(every)).await;
+            let wanted = self.wanted(&mut watch);
+            turns.retain(|key, _| wanted.iter().any(|(k, _)| k == key));
+            for (key, act) in wanted {
+                let turn = *turns.entry(key.clone()).or_insert(self.now() + place * TURN * every);
+                if self.now() < turn {
+                    continue;
+                }
+                turns.insert(key, self.now() + round);
+                match self.change(&act).await {
+                    Ok(_) => tracing::info!(target: "fleet", ?act, "asked for, and agreed on"),
+                    Err(Failed::No(no)) => tracing::debug!(target: "fleet", ?act, %no, "not now"),
+                    Err(Failed::NoMajority) => break,
+                }
+            }
+        }
+    }
+
+    /// What is to be asked for now, each with what it is known by.
+    fn wanted(&self, watch: &mut Watch) -> Vec<(String, Act)> {
+        let now = self.now();
+        let Some(document) = self.document.borrow().clone() else { return vec![] };
+        let mut presence = self.presence.borrow_mut();
+        presence.look(now);
+        // One that was stopped knows nobody's silence, and would call a crash what is none.
+        if !presence.knows(now) {
+            return vec![];
+        }
+        let told = self.told.borrow();
+        let heard = (0..).zip(told.iter()).map(|(place, told): (Place, _)| {
+            let (life, serving) = presence.here(now, place)?;
+            let told = told.as_ref().filter(|(of, _)| *of == life);
+            Some(Heard { life, serving, counts: told.map(|(_, t)| t.counts).unwrap_or_default() })
+        });
+        let heard: Vec<Option<Heard>> = heard.collect();
+        let release = watch.next(now, &document, &self.settings.bounds, &heard);
+        let key = |act: &Act| if matches!(act, Act::Fail(..)) { "fail" } else { "wave" }.to_string();
+        let release = release.map(|act| (key(&act), act));
+        release.into_iter().chain(nodes(&document)).collect()
+    }
+}
+
+fn nodes(document: &Document) -> Vec<(String, Act)> {
+    let now = now_ms();
+    let due = document.nodes.iter().filter(|(_, e)| match e.stage {
+        NodeStage::Wanted => document.halted.is_none() || e.until.is_some_and(|at| now >= at),
+        NodeStage::Out(_) => e.until.is_some_and(|at| now >= at),
+        NodeStage::Back(_) => false,
+    });
+    due.map(|(id, _)| (format!("node {id}"), Act::Node(id.clone()))).collect()
+}
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -2,13 +2,16 @@
 //! document, and goes out of service by its leave alone. All decisions are `tallypin_members`' and `tallypin_accord`'s;
 //! here are connections, time and tasks. Nothing of it is on a request's way, and it runs only where the settings say so.
 
+mod conduct;
+pub mod files;
 pub mod link;
 pub mod orders;
+pub mod plan;
 pub mod settings;
 pub mod wire;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,19 +19,28 @@
 use fastrand::Rng;
 use tallypin_accord::document::{Act, Document, No, View};
 use tallypin_accord::leave::{Leaver, Next, Own};
+use tallypin_accord::nodes::{unclear, Follows, NodeSeen, NodeStage, UnixMs};
 use tallypin_accord::register::{agreed, first, Answer, Ask, Ballot, Keeper, Round, Step};
+use tallypin_accord::watch::Counts;
 use tallypin_members::{Nanos, Place, Presence, Says};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, Notify, Semaphore};
+use tokio::sync::{mpsc, oneshot, Notify, Semaphore};
 use tokio::time::{sleep, timeout_at};
 
 use link::Link;
 use settings::FleetSettings;
-use wire::{Call, Keys, Reply, Said, Way, What};
+use wire::{Call, Keys, Reply, Said, Tells, Unclear, Way, What};
 
 /// A round that lost to another is tried again after up to so many ms, doubled each time: guards against two that go on
 /// overtaking each other.
 const AGAIN_MS: (u64, u64) = (20, 640);
+/// Changes that one round makes at the most, and those that may wait for one: a few of every router.
+const BATCH: usize = 64;
+const MOST_QUEUED: usize = 4096;
+/// Routers that keep a node from being clear, of which the names are told.
+const NAMED: usize = 8;
+/// A disk that has not answered for so long is taken to hang.
+const DISK: Duration = Duration::from_secs(10);
 
 /// What the fleet wants of the router that it is a part of.
 pub trait Duty {
@@ -36,8 +48,22 @@
     fn go_out(&self) -> bool;
     /// To serve again.
     fn serve(&self) -> bool;
+    /// Whether it has gone out, and nothing that it took before is open any more.
+    fn drained(&self) -> bool;
+    /// To end.
+    fn end(&self);
     /// What it says of itself.
     fn says(&self) -> Says;
+    /// Its final answers since its start.
+    fn counts(&self) -> Counts;
+    /// The model nodes by id; `None`: it has not heard the list of late.
+    fn nodes(&self) -> Option<BTreeMap<String, NodeSeen>>;
+    /// Which model nodes are out by order, and which were put back and when.
+    fn by_hand(&self, out: &[String], back: &[(String, UnixMs)]);
+    /// Whether it has anything open at a model node.
+    fn open_at(&self, node: &str) -> bool;
+    /// Whether it could start with these bytes as its file of this kind, or why not.
+    fn fit(&self, what: &str, bytes: &[u8]) -> Result<(), String>;
 }
 
 /// Why an order was not carried out.
@@ -62,11 +88,16 @@
     seen: Cell<Ballot>,
     /// By member of the council; `None` for this one.
     links: Vec<Option<Link>>,
+    /// The same for changes, which take longer than an answer.
+    ways: Vec<Option<Link>>,
+    /// Changes that this member is to make, and who waits for each.
+    queue: RefCell<Vec<(Act, oneshot::Sender<Changed>)>>,
+    queueing: Notify,
     /// What this member keeps, if it is one.
     keeper: RefCell<Option<Keeper<Document>>>,
     presence: RefCell<Presence>,
-    /// The last call of each router's life: one that comes again is no news.
-    heard: RefCell<Vec<(u64, u64)>>,
+    /// The last call of each router's life, and the last change: one that comes again is no news.
+    heard: RefCell<Vec<[(u64, u64); 2]>>,
     leaver: RefCell<Leaver>,
     own: Cell<Own>,
     /// The newest document that was agreed on, as far as known here.
@@ -75,6 +106,18 @@
     rumour: Cell<u64>,
     /// Told when the document may have changed.
     news: Notify,
+    /// The document has been learnt for the first time.
+    first: Notify,
+    /// What it runs of each kind that may be released, by digest.
+    runs: BTreeMap<String, String>,
+    /// The file that was found fit last.
+    fit: RefCell<Option<String>>,
+    /// It has put another file in place, and ends.
+    ending: Cell<bool>,
+    /// What each router has told last, and its life.
+    told: RefCell<Vec<Option<(u64, Tells)>>>,
+    /// By the last look: who keeps model nodes from being clear.
+    unclear: RefCell<BTreeMap<String, Unclear>>,
     /// Messages that were not read, and those told of in the log.
     spoilt: Cell<u64>,
 }
@@ -95,15 +138,24 @@
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(1, |d| d.as_nanos() as u64);
         let member = |place: &Place| settings.council.iter().position(|p| p == place);
-        let links = settings.council.iter().map(|&p| {
-            let to = settings.routers[usize::from(p)].at;
-            (p != settings.me).then(|| Link::start(to, keys.clone(), settings.answer))
-        });
+        let links = |deadline: Duration| -> Vec<Option<Link>> {
+            let link = |&p: &Place| {
+                let to = settings.routers[usize::from(p)].at;
+                (p != settings.me).then(|| Link::start(to, keys.clone(), deadline))
+            };
+            settings.council.iter().map(link).collect()
+        };
+        let (links, ways) = (links(settings.answer), links(settings.within / 2));
+        let runs = settings.released.iter().map(|r| Ok((r.what.clone(), r.runs()?)));
+        let runs = runs.collect::<io::Result<_>>().map_err(|e| of("release", e))?;
         let fleet = Rc::new(Fleet {
-            links: links.collect(),
+            links,
+            ways,
+            queue: RefCell::default(),
+            queueing: Notify::new(),
             keeper: RefCell::new(member(&settings.me).map(|_| Keeper::blank(life))),
             presence: RefCell::new(Presence::new(settings.members, settings.routers.len(), 0)),
-            heard: RefCell::new(vec![(0, 0); settings.routers.len()]),
+            heard: RefCell::new(vec![[(0, 0); 2]; settings.routers.len()]),
             leaver: RefCell::new(Leaver::new(settings.leave, settings.me, life)),
             keys,
             duty,
@@ -116,6 +168,12 @@
             document: RefCell::new(None),
             rumour: Cell::new(0),
             news: Notify::new(),
+            first: Notify::new(),
+            runs,
+            fit: RefCell::default(),
+            ending: Cell::default(),
+            told: RefCell::new(vec![None; settings.routers.len()]),
+            unclear: RefCell::default(),
             spoilt: Cell::new(0),
             settings,
         });
@@ -124,6 +182,8 @@
         tokio::task::spawn_local(fleet.clone().follow());
         if fleet.keeper.borrow().is_some() {
             tokio::task::spawn_local(fleet.clone().join());
+            tokio::task::spawn_local(fleet.clone().conduct());
+            tokio::task::spawn_local(fleet.clone().propose());
         }
         tracing::info!(target: "fleet", name = fleet.settings.name, %at, life, "of the fleet");
         Ok(fleet)
@@ -136,14 +196,37 @@
     fn call(&self, what: What) -> Call {
         self.number.set(self.number.get() + 1);
         let (from, life, number) = (self.settings.me, self.life, self.number.get());
-        Call { v: wire::VERSION, from, life, number, what }
+        let tells = matches!(what, What::Beat(_)).then(|| self.tells());
+        Call { v: wire::VERSION, from, life, number, what, tells }
+    }
+
+    fn tells(&self) -> Tells {
+        let document = self.document.borrow();
+        let follows = document.as_ref().map_or(Follows::default(), |d| {
+            let out = d.nodes.iter().filter(|(_, e)| matches!(e.stage, NodeStage::Out(_)));
+            let open = out.map(|(id, _)| id.clone()).filter(|id| self.duty.open_at(id));
+            Follows { version: d.version, open: open.collect() }
+        });
+        let what = document.as_ref().and_then(|d| d.release.as_ref()).map(|r| r.what.as_str());
+        let runs = what.and_then(|what| self.runs.get(what)).cloned();
+        Tells { counts: self.duty.counts(), follows, runs }
+    }
+
+    /// Waits until it knows what is agreed on, or for as long as an order may take: a router that begins to serve before
+    /// would send to model nodes that are out by order.
+    pub async fn first(&self) {
+        if self.known().is_none()
+            && tokio::time::timeout(self.settings.within, self.first.notified()).await.is_err()
+        {
+            tracing::warn!(target: "fleet", "serves without knowing what is agreed on: no majority of the council answers");
+        }
     }
 
     // ---- What is asked of this router ----
 
     async fn listen(self: Rc<Self>, listener: TcpListener) {
-        // A router has one connection; one that was cut off and comes again may have two for a moment.
-        let places = std::sync::Arc::new(Semaphore::new(self.settings.routers.len() + 2));
+        // A router has one connection for beats and answers and one for changes; at times one more for a moment.
+        let places = std::sync::Arc::new(Semaphore::new(2 * self.settings.routers.len() + 2));
         loop {
             let Ok((stream, from)) = listener.accept().await else {
                 sleep(Duration::from_millis(5)).await;
@@ -174,7 +257,7 @@
         }
     }
 
-    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    async fn serve(self: &Rc<Self>, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         // Whoever says nothing for so long is gone, or has another connection by now.
         let idle = Duration::from_nanos(self.settings.members.silent);
@@ -185,45 +268,96 @@
             if call.v != wire::VERSION {
                 return Err(wrong("of a version that is not known"));
             }
-            let what = self.asked(&call).ok_or_else(|| wrong("of no router of the fleet, or sent again"))?;
-            let reply = Reply { v: wire::VERSION, number: call.number, what };
+            let known = self.is_news(&call);
+            let what = match &call.what {
+                // Others are served meanwhile: it waits for agreement.
+                What::Change(act) if known => Some((Said::Changed(self.queued(act.clone()).await), vec![])),
+                _ if known => self.asked(&call),
+                _ => None,
+            };
+            let what = what.ok_or_else(|| wrong("of no router of the fleet, or sent again"))?;
+            let (what, unclear) = what;
+            let reply = Reply { v: wire::VERSION, number: call.number, what, unclear };
             wire::write(&mut stream, &self.keys.seal(Way::Reply, &reply)?).await?;
         }
     }
 
-    /// Answers a call; `None`: it is none.
-    fn asked(&self, call: &Call) -> Option<Said> {
+    /// Whether a call is of a router of the fleet, and has not come before.
+    fn is_news(&self, call: &Call) -> bool {
         let mut heard = self.heard.borrow_mut();
-        let last = heard.get_mut(usize::from(call.from))?;
-        if (call.life, call.number) <= *last {
-            return None;
-        }
-        *last = (call.life, call.number);
-        drop(heard);
+        // Changes come by a connection of their own, and may overtake what was sent before.
+        let way = usize::from(matches!(call.what, What::Change(_)));
+        let Some(last) = heard.get_mut(usize::from(call.from)).map(|ways| &mut ways[way]) else {
+            return false;
+        };
+        let news = (call.life, call.number) > *last;
+        *last = (*last).max((call.life, call.number));
+        news
+    }
+
+    /// Answers a call; `None`: it is none.
+    fn asked(&self, call: &Call) -> Option<(Said, Vec<Unclear>)> {
         match &call.what {
+            What::Change(_) => None,
             What::Beat(says) => {
                 self.presence.borrow_mut().beat(self.now(), call.from, call.life, *says);
-                Some(Said::Heard(self.taken()))
+                self.tell(call.from, call.life, call.tells.clone().unwrap_or_default());
+                Some((Said::Heard(self.taken()), vec![]))
             }
             What::Ask(ask) => {
-                let (answer, out) = self.ask_here(ask.clone())?;
-                Some(Said::Answer(answer, out))
+                let (answer, out, unclear) = self.ask_here(ask.clone())?;
+                Some((Said::Answer(answer, out), unclear))
             }
         }
     }
 
+    fn tell(&self, from: Place, life: u64, mut tells: Tells) {
+        tells.follows.open.truncate(tallypin_accord::nodes::MOST_NODES);
+        if let Some(told) = self.told.borrow_mut().get_mut(usize::from(from)) {
+            *told = Some((life, tells));
+        }
+    }
+
+    /// Who keeps the nodes that are out, by what this member took last, from being clear.
+    fn unclear_here(&self) -> Vec<Unclear> {
+        let (now, presence, told) = (self.now(), self.presence.borrow(), self.told.borrow());
+        let keeper = self.keeper.borrow();
+        let Some(value) = keeper.as_ref().and_then(|k| k.taken()) else { return vec![] };
+        // What an earlier life told says nothing of this one.
+        let said = |(place, told): (Place, &Option<(u64, Tells)>)| {
+            let here = presence.here(now, place).map(|(life, _)| life);
+            let told = told.as_ref().filter(|(life, _)| Some(*life) == here);
+            (told.map(|(_, tells)| tells.follows.clone()), presence.gone(now, place))
+        };
+        let said: Vec<_> = (0..).zip(told.iter()).map(said).collect();
+        let said: Vec<_> = said.iter().map(|(f, gone)| (f.as_ref(), *gone)).collect();
+        let out = value.document.nodes.iter().filter_map(|(id, e)| match e.stage {
+            NodeStage::Out(since) => Some((id, since)),
+            _ => None,
+        });
+        out.map(|(id, since)| {
+            let mut first = unclear(id, since, &said);
+            let routers = first.len();
+            first.truncate(NAMED);
+            Unclear { node: id.clone(), routers, first }
+        })
+        .collect()
+    }
+
     /// The version that this member took last.
     fn taken(&self) -> Option<u64> {
         let keeper = self.keeper.borrow();
         keeper.as_ref().and_then(|k| k.taken()).map(|value| value.document.version)
     }
 
-    fn ask_here(&self, ask: Ask<Document>) -> Option<(Answer<Document>, Option<Vec<Place>>)> {
+    fn ask_here(&self, ask: Ask<Document>) -> Heard {
+        let looks = ask == Ask::Look;
         let answer = self.keeper.borrow_mut().as_mut()?.asked(ask);
         let (now, mut presence) = (self.now(), self.presence.borrow_mut());
         presence.look(now);
         let out = presence.knows(now).then(|| presence.out(now));
-        Some((answer, out))
+        drop(presence);
+        Some((answer, out, if looks { self.unclear_here() } else { vec![] }))
     }
 
     // ---- What it asks ----
@@ -236,8 +370,10 @@
             tokio::task::spawn_local(async move {
                 let answer = match &fleet.links[member] {
                     None => fleet.ask_here(ask.clone()),
-                    Some(link) => match link.call(fleet.call(What::Ask(ask.clone()))).await.map(|r| r.what) {
-                        Some(Said::Answer(answer, out)) => Some((answer, out)),
+                    Some(link) => match link.call(fleet.call(What::Ask(ask.clone()))).await {
+                        Some(Reply { what: Said::Answer(answer, out), unclear, .. }) => {
+                            Some((answer, out, unclear))
+                        }
                         _ => None,
                     },
                 };
@@ -247,12 +383,16 @@
         told
     }
 
-    /// One round with its change. `None`: nothing came of it.
-    async fn round(self: &Rc<Self>, mut round: Round<Document>, act: &Act) -> Option<Result<Document, No>> {
-        let mut view = View { wanted: self.links.len() / 2 + 1, ..View::default() };
+    /// One round with its changes, one after the other, each made or refused for itself. `None`: nothing came of it.
+    async fn round(self: &Rc<Self>, mut round: Round<Document>, acts: &[Act]) -> Option<Vec<Changed>> {
+        let listed = acts.iter().any(|act| matches!(act, Act::TakeOut { .. } | Act::Node(_)));
+        let nodes = if listed { self.duty.nodes() } else { None };
+        let now_ms = now_ms();
+        let mut view = View { wanted: self.links.len() / 2 + 1, nodes, now_ms, ..View::default() };
+        let mut results: Vec<Result<(), No>> = vec![];
         let mut told = self.ask_all(&round.ask());
         while let Some((member, ask, answer)) = told.recv().await {
-            let Some((answer, out)) = answer else { continue };
+            let Some((answer, out, _)) = answer else { continue };
             if let Answer::Newer(seen) = &answer {
                 self.seen.set(self.seen.get().max(*seen));
             }
@@ -263,11 +403,16 @@
             match round.heard(member, &ask, answer) {
                 Step::Wait => {}
                 Step::Lost(_) => return None,
-                Step::Change(document) => {
-                    match document.changed(act, &self.settings.bounds, &view) {
-                        Ok(document) => round.propose(document),
-                        Err(no) => return Some(Err(no)),
+                Step::Change(mut document) => {
+                    let change = |act| {
+                        document = document.changed(act, &self.settings.bounds, &view)?;
+                        Ok(())
+                    };
+                    results = acts.iter().map(change).collect();
+                    if results.iter().all(Result::is_err) {
+                        return Some(results.into_iter().map(|r| r.map(|()| Document::default())).collect());
                     }
+                    round.propose(document);
                     told = self.ask_all(&round.ask());
                 }
                 Step::Agreed(value) => {
@@ -276,7 +421,7 @@
                         keeper.join(round.ballot(), value);
                     }
                     self.learn(&document);
-                    return Some(Ok(document));
+                    return Some(results.into_iter().map(|r| r.map(|()| document.clone())).collect());
                 }
             }
         }
@@ -293,10 +438,19 @@
     async fn look(self: &Rc<Self>) -> Option<Document> {
         let mut all = vec![None; self.links.len()];
         let mut told = self.ask_all(&Ask::Look);
+        let mut unclear: BTreeMap<String, Unclear> = BTreeMap::new();
         while let Some((member, _, answer)) = told.recv().await {
-            let Some((Answer::Has { life, taken }, _)) = answer else { continue };
+            let Some((Answer::Has { life, taken }, _, said)) = answer else { continue };
             all[usize::from(member)] = Some((life, taken));
+            // What one has heard a router say is so, though another has not.
+            for u in said {
+                let least = unclear.entry(u.node.clone()).or_insert_with(|| u.clone());
+                if u.routers < least.routers {
+                    *least = u;
+                }
+            }
             if let Some(value) = agreed(&all) {
+                self.unclear.replace(std::mem::take(&mut unclear));
                 self.learn(&value.document);
                 return Some(value.document);
             }
@@ -304,26 +458,111 @@
         None
     }
 
-    /// Has a change agreed on, or learns why not.
+    /// Has a change agreed on, or learns why not. All routers send their changes to one member, the first that answers,
+    /// which makes many in one round: guards against hundreds whose rounds overtake each other.
     pub async fn change(self: &Rc<Self>, act: &Act) -> Result<Document, Failed> {
         let until = Instant::now() + self.settings.within;
-        let mut again = AGAIN_MS.0;
         if *act == Act::Look {
             if let Ok(Some(document)) = timeout_at(until.into(), self.look()).await {
                 return Ok(document);
             }
         }
+        let made = timeout_at(until.into(), async {
+            let (well, others): (Vec<usize>, Vec<usize>) =
+                (0..self.links.len()).partition(|&m| self.reaches(m));
+            for member in well.into_iter().chain(others) {
+                let changed = match &self.ways[member] {
+                    None => self.queued(act.clone()).await,
+                    Some(way) => tokio::select! {
+                        reply = way.call(self.call(What::Change(act.clone()))) => match reply.map(|r| r.what) {
+                            Some(Said::Changed(changed)) => changed,
+                            _ => None,
+                        },
+                        // Its answers to beats tell sooner that it is stalled.
+                        () = self.lost(member) => None,
+                    },
+                };
+                if let Some(changed) = changed {
+                    return Some(changed);
+                }
+            }
+            None
+        });
+        match made.await {
+            Ok(Some(Ok(document))) => {
+                self.learn(&document);
+                Ok(document)
+            }
+            Ok(Some(Err(no))) => Err(Failed::No(no)),
+            Ok(None) | Err(_) => Err(Failed::NoMajority),
+        }
+    }
+
+    /// Waits until a member is seen not to answer, and has been asked at least once more by then.
+    async fn lost(&self, member: usize) {
+        let beat = Duration::from_nanos(self.settings.members.every);
+        sleep(beat + self.settings.answer).await;
+        while self.reaches(member) {
+            sleep(beat).await;
+        }
+    }
+
+    /// Whether a member of the council answered last.
+    fn reaches(&self, member: usize) -> bool {
+        self.links[member].as_ref().is_none_or(Link::well)
+    }
+
+    /// A change for this member to make with its next round. `None`: nothing came of it, or it is no member.
+    async fn queued(&self, act: Act) -> Option<Changed> {
+        let (tell, told) = oneshot::channel();
+        self.keeper.borrow().as_ref()?;
+        if self.queue.borrow().len() >= MOST_QUEUED {
+            return None;
+        }
+        self.queue.borrow_mut().push((act, tell));
+        self.queueing.notify_one();
+        told.await.ok()
+    }
+
+    /// The changes of the next round.
+    fn batch(&self) -> Vec<(Act, oneshot::Sender<Changed>)> {
+        let mut queue = self.queue.borrow_mut();
+        // Nobody waits for these any more.
+        queue.retain(|(_, tell)| !tell.is_closed());
+        let most = queue.len().min(BATCH);
+        queue.drain(..most).collect()
+    }
+
+    /// Makes what has been queued, all in one round, again and again.
+    async fn propose(self: Rc<Self>) {
+        loop {
+            self.queueing.notified().await;
+            loop {
+                let batch = self.batch();
+                if batch.is_empty() {
+                    break;
+                }
+                let (acts, tells): (Vec<Act>, Vec<_>) = batch.into_iter().unzip();
+                if let Some(results) = self.made(&acts).await {
+                    for (tell, result) in tells.into_iter().zip(results) {
+                        let _ = tell.send(result);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Rounds until one is not overtaken, or for as long as an order may take.
+    async fn made(self: &Rc<Self>, acts: &[Act]) -> Option<Vec<Changed>> {
+        let until = Instant::now() + self.settings.within;
+        let mut again = AGAIN_MS.0;
         loop {
             let round = Round::new(self.ballot(), self.links.len());
-            match timeout_at(until.into(), self.round(round, act)).await {
-                Ok(Some(done)) => return done.map_err(Failed::No),
-                Ok(None) => {}
-                Err(_) => return Err(Failed::NoMajority),
+            if let Some(results) = timeout_at(until.into(), self.round(round, acts)).await.ok()? {
+                return Some(results);
             }
             let wait = self.rng.borrow_mut().u64(again / 2..=again);
-            if timeout_at(until.into(), sleep(Duration::from_millis(wait))).await.is_err() {
-                return Err(Failed::NoMajority);
-            }
+            timeout_at(until.into(), sleep(Duration::from_millis(wait))).await.ok()?;
             again = (again * 2).min(AGAIN_MS.1);
         }
     }
@@ -334,7 +573,18 @@
             tracing::info!(target: "fleet", version = document.version, halted = document.halted.as_deref().unwrap_or("no"),
                 entries = document.entries.len(), "agreed on");
             *known = Some(document.clone());
+            self.first.notify_one();
             self.news.notify_one();
+            drop(known);
+            let (mut out, mut back) = (Vec::new(), Vec::new());
+            for (id, e) in &document.nodes {
+                match e.stage {
+                    NodeStage::Out(_) => out.push(id.clone()),
+                    NodeStage::Back(at) => back.push((id.clone(), at)),
+                    NodeStage::Wanted => {}
+                }
+            }
+            self.duty.by_hand(&out, &back);
         }
     }
 
@@ -347,8 +597,8 @@
         let member = self.settings.council.iter().position(|&p| p == self.settings.me).unwrap_or(0);
         while self.keeper.borrow().as_ref().is_some_and(|k| !k.joined()) {
             let round = Round::joining(self.ballot(), self.links.len(), member as u8, self.life);
-            let joined = tokio::time::timeout(self.settings.within, self.round(round, &Act::Look)).await;
-            if !matches!(joined, Ok(Some(Ok(_)))) && member == 0 {
+            let joined = tokio::time::timeout(self.settings.within, self.round(round, &[Act::Look])).await;
+            if !matches!(joined, Ok(Some(_))) {
                 let _ = tokio::time::timeout(self.settings.within, self.found()).await;
             }
             let wait = self.rng.borrow_mut().u64(every.as_millis() as u64 / 2..=every.as_millis() as u64);
@@ -357,24 +607,32 @@
         tracing::info!(target: "fleet", "takes part in the council");
     }
 
-    /// The first member has all take the first document, if all are blank.
+    /// Has all members take a first document, if too few remember to agree on anything. Any blank one may: of two at once
+    /// one fails, as what it asked is no longer the last that all have heard.
     async fn found(self: &Rc<Self>) {
-        let mut blank = vec![None; self.links.len()];
-        let mut told = self.ask_all(&Ask::Prepare(self.ballot()));
+        let mut members = vec![None; self.links.len()];
+        let ballot = self.ballot();
+        let mut told = self.ask_all(&Ask::Prepare(ballot));
         while let Some((member, _, answer)) = told.recv().await {
-            if let Some((Answer::Blank { life }, _)) = answer {
-                blank[usize::from(member)] = Some(life);
-            }
+            members[usize::from(member)] = match answer {
+                Some((Answer::Blank { life }, ..)) => Some((life, None)),
+                Some((Answer::Promised { life, taken }, ..)) => Some((life, taken)),
+                Some((Answer::Newer(seen), ..)) => {
+                    self.seen.set(self.seen.get().max(seen));
+                    None
+                }
+                _ => None,
+            };
         }
-        let Some(value) = first(Document::first(), &blank) else { return };
+        let Some(value) = first(&members, Document::first) else { return };
         let document = value.document.clone();
-        let mut told = self.ask_all(&Ask::Found(self.ballot(), value));
+        let mut told = self.ask_all(&Ask::Found(ballot, value));
         let mut taken = 0;
         while let Some((_, _, answer)) = told.recv().await {
-            taken += usize::from(matches!(answer, Some((Answer::Taken { .. }, _))));
+            taken += usize::from(matches!(answer, Some((Answer::Taken { .. }, ..))));
         }
         if taken == self.links.len() {
-            tracing::warn!(target: "fleet", "the council begins anew: nobody remembers anything; halted until `resume`");
+            tracing::warn!(target: "fleet", why = document.halted, "the council begins anew: halted until `resume`");
             self.learn(&document);
         }
     }
@@ -388,7 +646,11 @@
         loop {
             every.tick().await;
             self.presence.borrow_mut().look(self.now());
-            let says = self.duty.says();
+            let says = match self.keeper.borrow().as_ref().is_none_or(Keeper::joined) {
+                true => self.duty.says(),
+                // A member that has forgotten counts as out until it takes part: else the next one could forget as well.
+                false => Says::Starting,
+            };
             for member in 0..self.links.len() {
                 let fleet = self.clone();
                 tokio::task::spawn_local(async move {
@@ -396,6 +658,7 @@
                         None => {
                             let now = fleet.now();
                             fleet.presence.borrow_mut().beat(now, fleet.settings.me, fleet.life, says);
+                            fleet.tell(fleet.settings.me, fleet.life, fleet.tells());
                             fleet.taken()
                         }
                         Some(link) => match link.call(fleet.call(What::Beat(says))).await.map(|r| r.what) {
@@ -435,7 +698,9 @@
     async fn step(self: &Rc<Self>) {
         loop {
             let Some(document) = self.document.borrow().clone() else { return };
-            let next = self.leaver.borrow().next(self.now(), &document, self.own.get());
+            let what = document.release.as_ref().map(|r| r.what.clone());
+            let runs = what.as_ref().and_then(|what| self.runs.get(what)).map(String::as_str);
+            let next = self.leaver.borrow().next(self.now(), &document, self.own.get(), runs);
             match next {
                 Next::Rest => return,
                 Next::GoOut => {
@@ -453,9 +718,40 @@
                     tracing::info!(target: "fleet", version = document.version, "serves again");
                     self.own.set(Own::Serving);
                 }
+                Next::Swap(digest) => {
+                    if self.ending.get() || !self.duty.drained() {
+                        return;
+                    }
+                    match self.swap(what.unwrap_or_default(), digest).await {
+                        Ok(()) => {
+                            self.ending.set(true);
+                            tracing::info!(target: "fleet", "ends, to start with what is released");
+                            self.duty.end();
+                            return;
+                        }
+                        Err(why) => {
+                            if !self.unfit(why).await {
+                                return;
+                            }
+                        }
+                    }
+                }
                 Next::Ask(act) => {
+                    if let (Act::LeaveFrom(..), Some(what)) = (&act, &what) {
+                        let to = document.entries.get(&self.settings.me).and_then(|e| e.to.clone());
+                        if let Err(why) = self.fits(what.clone(), to.unwrap_or_default()).await {
+                            match self.unfit(why).await {
+                                true => continue,
+                                false => return,
+                            }
+                        }
+                    }
                     let at = self.now();
                     let done = self.change(&act).await;
+                    let keeps = matches!(act, Act::Serves(..) | Act::Has(_)) && done.is_ok();
+                    if let (true, Some(what)) = (keeps, &what) {
+                        self.keep(what.clone()).await;
+                    }
                     if let Err(Failed::No(no)) = &done {
                         tracing::debug!(target: "fleet", ?act, %no, "not now");
                     }
@@ -468,11 +764,64 @@
         }
     }
 
+    // ---- Files, off the thread that serves ----
+
+    /// Does something with the files of a kind. One that hangs is given up, and holds nothing up.
+    async fn on_disk<T: Send + 'static>(
+        &self,
+        what: &str,
+        does: impl FnOnce(files::Released) -> io::Result<T> + Send + 'static,
+    ) -> Result<T, String> {
+        let of = self.settings.released.iter().find(|r| r.what == what);
+        let of = of.cloned().ok_or_else(|| format!("its settings have no place for `{what}`"))?;
+        match tokio::time::timeout(DISK, tokio::task::spawn_blocking(move || does(of))).await {
+            Ok(Ok(done)) => done.map_err(|e| e.to_string()),
+            Ok(Err(e)) => Err(e.to_string()),
+            Err(_) => Err("the disk does not answer".into()),
+        }
+    }
+
+    /// Whether it has what is released, and could start with it.
+    async fn fits(&self, what: String, digest: String) -> Result<(), String> {
+        if self.fit.borrow().as_ref() == Some(&digest) {
+            return Ok(());
+        }
+        let wanted = digest.clone();
+        let bytes = self.on_disk(&what, move |of| of.stored(&wanted)).await?;
+        self.duty.fit(&what, &bytes)?;
+        self.fit.replace(Some(digest));
+        Ok(())
+    }
+
+    async fn swap(&self, what: String, digest: String) -> Result<(), String> {
+        self.on_disk(&what, move |of| of.swap(&digest)).await
+    }
+
+    async fn keep(&self, what: String) {
+        if let Err(why) = self.on_disk(&what, |of| of.keep()).await {
+            tracing::warn!(target: "fleet", why, "serves with what was released, but its trial can't be ended");
+        }
+    }
+
+    /// Has it agreed on that this router can't run what is released.
+    async fn unfit(self: &Rc<Self>, why: String) -> bool {
+        tracing::warn!(target: "fleet", why, "can't run what is released");
+        self.change(&Act::Unfit(self.settings.me, why)).await.is_ok()
+    }
+
     /// Routers that the view from here takes to be out: only a member of the council has one.
     fn out_here(&self) -> BTreeSet<Place> {
         self.presence.borrow_mut().out(self.now()).into_iter().collect()
     }
 }
 
-/// A member's answer to the register, and who is out by its view.
-type Heard = Option<(Answer<Document>, Option<Vec<Place>>)>;
+/// What became of a change: the document with it, or why it was not made.
+type Changed = Result<Document, No>;
+
+/// A member's answer to the register, who is out by its view, and who keeps nodes from being clear.
+type Heard = Option<(Answer<Document>, Option<Vec<Place>>, Vec<Unclear>)>;
+
+/// The time, as routers tell it each other.
+fn now_ms() -> UnixMs {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
--- a/router/src/fleet/orders.rs
+++ b/router/src/fleet/orders.rs
@@ -1,15 +1,18 @@
 //! The operators' orders to the fleet, given to any of its routers: words in, JSON out.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
-use tallypin_accord::document::{Act, Document, Stage};
+use tallypin_accord::document::{Act, Document, No, Stage};
 use tallypin_accord::leave::halt_holds;
+use tallypin_accord::nodes::{NodeStage, MOST_NODES};
+use tallypin_accord::release::Phase;
 use tallypin_members::Place;
 use tokio::time::sleep;
 
-use super::{Failed, Fleet};
+use super::{now_ms, plan, Failed, Fleet};
 
 /// A halt that is agreed on is looked at so often until it holds.
 const LOOK: Duration = Duration::from_millis(50);
@@ -21,8 +24,14 @@
     Status,
     /// Routers are to go out, as many at a time as the bounds let.
     Drain(Vec<String>),
-    /// Routers are to come back.
+    /// Routers are to come back, or model nodes.
     PutBack(Vec<String>),
+    /// Model nodes are to go out, at most for so long.
+    TakeOut(Vec<String>, Option<Duration>),
+    /// A file is to be released.
+    Release(Box<plan::Said>),
+    /// The release is to be undone.
+    Undo(String),
     /// Nothing may begin to go out.
     Halt(String),
     /// It may again.
@@ -38,21 +47,50 @@
     let names = |words: &[&str]| words.iter().map(ToString::to_string).collect::<Vec<_>>();
     let order = match words {
         ["status"] => Order::Status,
-        ["drain" | "put-back"] => return Err("which routers?".into()),
+        ["drain"] => return Err("which routers?".into()),
+        ["put-back"] => return Err("which routers, or which model nodes?".into()),
+        ["take-out"] | ["take-out", "for", ..] => {
+            return Err("which model nodes? `take-out NODE.. [for 30m]`".into())
+        }
+        ["take-out", nodes @ .., "for", time] => Order::TakeOut(names(nodes), Some(duration(time)?)),
+        ["take-out", nodes @ ..] => Order::TakeOut(names(nodes), None),
+        ["release", json @ ..] => {
+            let said = serde_json::from_str(&json.join(" ")).map_err(|e| format!("not a plan: {e}"))?;
+            Order::Release(Box::new(said))
+        }
+        ["back"] => Order::Undo("ordered".into()),
+        ["back", cause @ ..] => Order::Undo(cause.join(" ")),
         ["drain", routers @ ..] => Order::Drain(names(routers)),
         ["put-back", routers @ ..] => Order::PutBack(names(routers)),
         ["halt"] => Order::Halt("ordered".into()),
         ["halt", cause @ ..] => Order::Halt(cause.join(" ")),
         ["resume"] => Order::Resume,
         _ => {
-            let all = "fleet [id ID] status, drain ROUTER.., put-back ROUTER.., halt [CAUSE], resume";
+            let all = "fleet [id ID] status, drain ROUTER.., take-out NODE.. [for TIME], put-back ROUTER|NODE.., release \
+                       PLAN, back [CAUSE], watch, halt [CAUSE], resume";
             return Err(format!("no such order; there are {all}"));
         }
     };
     Ok((id, order))
 }
 
+/// `90s`, `30m`, `2h`.
+fn duration(word: &str) -> Result<Duration, String> {
+    let kind = tallypin_conf::Kind::Duration(1000, 7 * 24 * 3_600_000);
+    match kind.read(word) {
+        Some(tallypin_conf::Value::Duration(d)) => Ok(d),
+        _ => Err(format!("`{word}` is no time from 1s to 168h")),
+    }
+}
+
 impl Fleet {
+    /// Whether all of these names are model nodes that are out, or to go, by order.
+    fn are_nodes(&self, names: &[String]) -> bool {
+        let known = self.document.borrow();
+        let out = |id: &String| known.as_ref().is_some_and(|d| d.nodes.contains_key(id));
+        names.iter().all(|name| out(name) && self.settings.place(name).is_none())
+    }
+
     /// Carries an order out. Answered when it is agreed on, or when it is known that it is not.
     pub async fn order(self: &Rc<Self>, id: Option<String>, order: Order) -> Value {
         let id = id.unwrap_or_else(|| {
@@ -60,15 +98,35 @@
                 self.rng.borrow_mut().u64(..)
             })
         });
+        let no = |why: String| json!({"done": false, "id": id, "why": why});
         let act = match &order {
             Order::Status => Act::Look,
+            Order::PutBack(names) if self.are_nodes(names) => {
+                Act::PutBackNodes { order: id.clone(), nodes: names.clone() }
+            }
+            Order::TakeOut(names, _) if names.len() > MOST_NODES => return no(No::TooMany.to_string()),
+            Order::TakeOut(names, time) => {
+                let until = time.map(|t| now_ms().saturating_add(t.as_millis() as u64));
+                Act::TakeOut { order: id.clone(), nodes: names.clone(), until }
+            }
+            Order::Release(said) => {
+                let waves = match plan::waves(&said.waves, &self.settings) {
+                    Ok(waves) => waves,
+                    Err(why) => return no(why),
+                };
+                let (what, digest, plan) = (said.what.clone(), said.digest.clone(), said.plan.clone());
+                Act::Release { order: id.clone(), what, digest, waves, plan }
+            }
+            Order::Undo(cause) => Act::Undo { order: id.clone(), cause: cause.clone() },
             Order::Drain(names) | Order::PutBack(names) => {
                 let mut routers: Vec<Place> = Vec::new();
                 for name in names {
                     match self.settings.place(name) {
                         Some(place) => routers.push(place),
                         None => {
-                            return json!({"done": false, "why": format!("the fleet has no router `{name}`")})
+                            return no(format!(
+                                "the fleet has no router `{name}`, and no such model node is out by order"
+                            ))
                         }
                     }
                 }
@@ -120,9 +178,9 @@
 
     /// Members of the council that answered last.
     fn reached(&self) -> Vec<&str> {
-        let members = self.settings.council.iter().zip(&self.links);
-        let well = members.filter(|(_, link)| link.as_ref().is_none_or(|l| l.well()));
-        well.map(|(&p, _)| self.settings.routers[usize::from(p)].name.as_str()).collect()
+        let members =
+            self.settings.council.iter().enumerate().filter(|(m, _)| self.reaches(*m)).map(|(_, p)| p);
+        members.map(|&p| self.settings.routers[usize::from(p)].name.as_str()).collect()
     }
 
     fn told(&self, id: &str, document: &Document) -> Value {
@@ -137,14 +195,56 @@
         let entries: Vec<Value> = document
             .entries
             .iter()
-            .map(|(place, e)| json!({"router": name(place), "stage": stage(&e.stage), "order": e.order}))
+            .map(|(place, e)| {
+                let mut said = json!({"router": name(place), "stage": stage(&e.stage), "order": e.order});
+                e.to.iter().for_each(|to| said["to"] = to.as_str().into());
+                said
+            })
             .collect();
         let mut told = json!({
             "done": true, "id": id, "version": document.version, "halted": document.halted, "entries": entries,
             "bounds": {"all": self.settings.bounds.all, "zone": self.settings.bounds.zone},
             "council": self.reached(), "spoilt": self.spoilt.get(),
         });
+        let unclear = self.unclear.borrow();
+        let node = |(id, e): (&String, &tallypin_accord::nodes::NodeEntry)| {
+            let mut said = json!({"node": id, "order": e.order, "until_ms": e.until});
+            match e.stage {
+                NodeStage::Wanted => said["stage"] = "wanted".into(),
+                NodeStage::Back(at) => (said["stage"], said["since_ms"]) = ("back".into(), at.into()),
+                NodeStage::Out(_) => {
+                    let held = unclear.get(id);
+                    said["stage"] = "out".into();
+                    said["clear"] = held.is_some_and(|u| u.routers == 0).into();
+                    said["not_clear"] = held.map(|u| u.routers).into();
+                    said["first"] = held.map(|u| u.first.iter().map(name).collect::<Vec<_>>()).into();
+                }
+            }
+            said
+        };
+        told["nodes"] = document.nodes.iter().map(node).collect();
+        if let Some(r) = &document.release {
+            let (phase, cause) = match &r.phase {
+                Phase::Running => ("running", None),
+                Phase::Failed(why) => ("failed", Some(why)),
+                Phase::Back(why) => ("back", Some(why)),
+                Phase::Done => ("done", None),
+                Phase::Undone(why) => ("undone", Some(why)),
+            };
+            told["release"] = json!({
+                "order": r.order, "what": r.what, "digest": r.digest, "phase": phase, "cause": cause,
+                "wave": r.wave + 1, "waves": r.waves.len(), "runs_here": self.runs.get(&r.what),
+            });
+        }
         if self.keeper.borrow().is_some() {
+            // What the others said last that they run, by digest.
+            let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+            let all = self.told.borrow();
+            all.iter()
+                .flatten()
+                .filter_map(|(_, t)| t.runs.clone())
+                .for_each(|d| *runs.entry(d).or_default() += 1);
+            told["runs"] = json!(runs);
             told["out_here"] = self.out_here().iter().map(name).collect();
         }
         told
@@ -161,6 +261,14 @@
         let drain = Order::Drain(vec!["r1".into(), "r2".into()]);
         assert_eq!(read(&["id", "x1", "drain", "r1", "r2"]), Ok((Some("x1".into()), drain)));
         assert_eq!(read(&["halt", "late", "answers"]), Ok((None, Order::Halt("late answers".into()))));
+        let half = Some(Duration::from_secs(1800));
+        assert_eq!(
+            read(&["take-out", "n1", "n2", "for", "30m"]).unwrap().1,
+            Order::TakeOut(vec!["n1".into(), "n2".into()], half)
+        );
+        assert!(read(&["take-out", "n1", "for", "ever"]).unwrap_err().contains("is no time"));
+        assert!(read(&["take-out"]).unwrap_err().contains("which model nodes"));
+        assert!(read(&["release", "{}"]).unwrap_err().contains("not a plan"));
         assert!(read(&["drain"]).unwrap_err().contains("which routers"));
         assert!(read(&["dance"]).unwrap_err().contains("no such order"));
         assert!(read(&[]).is_err());
--- a/router/src/fleet/settings.rs
+++ b/router/src/fleet/settings.rs
@@ -7,10 +7,13 @@
 
 use tallypin_accord::document::Bounds;
 use tallypin_accord::leave;
+use tallypin_accord::nodes::{Most, NodeBounds};
 use tallypin_accord::register::MOST_MEMBERS;
 use tallypin_conf::{nearest, Checked, Directive, Entry, Kind, Problem, Section};
 use tallypin_members::Place;
 
+use super::files::Released;
+
 /// The most routers of a fleet.
 pub const MOST_ROUTERS: usize = 1000;
 /// Descriptors beside the connections of the routers: the listener, and who is turned away.
@@ -43,6 +46,15 @@
             "routers that may be out at once, a number or a share",
         ),
         Directive::required("out-zone", &[Kind::Text], "the same, of a zone; a share is of the smallest"),
+        Directive::optional("nodes-out-most", &[Kind::Text], "model nodes that may be out by order at once"),
+        Directive::optional("nodes-out-zone", &[Kind::Text], "the same, of a zone"),
+        Directive::optional("nodes-out-kind", &[Kind::Text], "the same, of a kind of machine"),
+        Directive::optional(
+            "release",
+            &[Kind::OneOf(&["settings", "configuration", "program"]), Kind::Path, Kind::Path],
+            "a file that a release may change: where it is found, and the store with one for each digest",
+        )
+        .many(),
         Directive::with("beat", &[Kind::Duration(50, MINUTE)], &["500ms"], "a router is heard so often"),
         Directive::with("silent", &[Kind::Duration(100, MINUTE)], &["3s"], "not heard for so long it is out"),
         Directive::with(
@@ -88,6 +100,8 @@
     pub council: Vec<Place>,
     /// How many may be out.
     pub bounds: Bounds,
+    /// What a release may change.
+    pub released: Vec<Released>,
     /// Beats, and when silence is believed.
     pub members: tallypin_members::Figures,
     /// The figures of a leave.
@@ -144,6 +158,19 @@
             })
         };
         let (all, zone) = (most("out-most", routers.len(), false), most("out-zone", smallest, true));
+        let nodes = node_bounds(s, problems);
+        let path = |e: &Entry, at: usize| match e.values.get(at) {
+            Some(tallypin_conf::Value::Path(path)) => PathBuf::from(path),
+            _ => PathBuf::new(),
+        };
+        let released =
+            s.all("release").map(|e| Released { what: e.text(0).into(), at: path(e, 1), store: path(e, 2) });
+        let released: Vec<Released> = released.collect();
+        let wrong = |what: String| Problem::new(s.place, what);
+        let kinds: BTreeSet<&str> = released.iter().map(|r| r.what.as_str()).collect();
+        if kinds.len() < released.len() {
+            problems.push(wrong("`release`: a kind of file has one place".into()));
+        }
         let (beat, silent) = (s.duration("beat"), s.duration("silent"));
         if silent < beat * 3 {
             problems.push(wrong(
@@ -155,7 +182,15 @@
             name: s.text("name").into(),
             me,
             key: s.path("key").map(PathBuf::from).unwrap_or_default(),
-            bounds: Bounds { zones: routers.iter().map(zone_of).collect(), all, zone },
+            bounds: Bounds {
+                names: routers.iter().map(|r| r.name.clone()).collect(),
+                zones: routers.iter().map(zone_of).collect(),
+                all,
+                zone,
+                council: council.clone(),
+                nodes,
+            },
+            released,
             routers,
             council,
             members: tallypin_members::Figures { every: nanos(beat), silent: nanos(silent) },
@@ -165,11 +200,11 @@
         }
     }
 
-    /// The descriptors that it needs: a member of the council has a connection of each router, and each has one to every
-    /// member.
+    /// The descriptors that it needs: a member of the council has two connections of each router, and each has two to every
+    /// member: one for beats and answers, one for changes.
     pub fn descriptors(&self) -> usize {
-        let served = if self.council.contains(&self.me) { self.routers.len() } else { 0 };
-        self.council.len() + served + SPARE
+        let served = if self.council.contains(&self.me) { 2 * self.routers.len() } else { 0 };
+        2 * self.council.len() + served + SPARE
     }
 
     /// A router's place, by its name.
@@ -186,6 +221,38 @@
     Router { name: e.text(0).into(), at, zone: e.text(2).into() }
 }
 
+/// The bounds for model nodes: by zone and kind as in all, where nothing else is said.
+fn node_bounds(s: &Checked, problems: &mut Vec<Problem>) -> Option<NodeBounds> {
+    let mut most = |name: &str| {
+        let e = s.entry(name)?;
+        let read = node_bound(e.text(0));
+        read.map_err(|why| problems.push(Problem::new(e.place(1), format!("`{name}`: {why}")))).ok()
+    };
+    let (all, zone, kind) = (most("nodes-out-most"), most("nodes-out-zone"), most("nodes-out-kind"));
+    if all.is_none() && (zone.is_some() || kind.is_some()) {
+        problems.push(Problem::new(
+            s.place,
+            "`nodes-out-zone` and `nodes-out-kind` want `nodes-out-most`".to_string(),
+        ));
+    }
+    all.map(|all| NodeBounds { all, zone: zone.unwrap_or(all), kind: kind.unwrap_or(all) })
+}
+
+/// `3`, or `10%`: of as many as are listed when it counts, rounded down, so at times of none.
+fn node_bound(word: &str) -> Result<Most, String> {
+    let digits = |w: &str| w.parse::<usize>().ok().filter(|_| w.bytes().all(|b| b.is_ascii_digit()));
+    match word.strip_suffix('%') {
+        Some(share) => match digits(share).filter(|s| (1..100).contains(s)) {
+            Some(share) => Ok(Most::Share(share)),
+            None => Err("a share is 1% to 99%".into()),
+        },
+        None => match digits(word).ok_or("wants a number, or a share as 10%")? {
+            0 => Err("a bound of none would let nothing out; leave it away for that".into()),
+            most => Ok(Most::Number(most)),
+        },
+    }
+}
+
 /// `3`, or `10%` of so many, rounded down. A share that is none is an error: it would stop every release, by accident.
 /// The whole of a zone may go out, where the bound says so; the whole of a fleet may not.
 fn bound(word: &str, of: usize, whole: bool) -> Result<usize, String> {
@@ -234,6 +301,9 @@
             );
         }
         assert_eq!(bound("2", 2, true), Ok(2));
-        {}
+        assert_eq!((node_bound("10%"), node_bound("2")), (Ok(Most::Share(10)), Ok(Most::Number(2))));
+        for word in ["0", "0%", "100%", "+3", "many", ""] {
+            assert!(node_bound(word).is_err(), "{word}");
+        }
     }
 }
--- a/router/src/fleet/wire.rs
+++ b/router/src/fleet/wire.rs
@@ -4,8 +4,10 @@
 use std::io;
 
 use serde::{Deserialize, Serialize};
-use tallypin_accord::document::Document;
+use tallypin_accord::document::{Act, Document, No};
+use tallypin_accord::nodes::Follows;
 use tallypin_accord::register::{Answer, Ask};
+use tallypin_accord::watch::Counts;
 use tallypin_members::{Place, Says};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
@@ -31,6 +33,34 @@
     pub number: u64,
     /// What it asks.
     pub what: What,
+    /// With a beat: what it tells besides. Routers of the first version tell nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tells: Option<Tells>,
+}
+
+/// What a router tells with its beats.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tells {
+    /// Its final answers.
+    #[serde(default)]
+    pub counts: Counts,
+    /// What it does about model nodes that are out by order.
+    #[serde(default)]
+    pub follows: Follows,
+    /// What it runs, of the kind that is, or was last, released.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub runs: Option<String>,
+}
+
+/// Who keeps a model node that is out from being clear, as one member has heard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unclear {
+    /// The model node.
+    pub node: String,
+    /// How many routers.
+    pub routers: usize,
+    /// The first of them.
+    pub first: Vec<Place>,
 }
 
 /// What is asked.
@@ -41,6 +71,8 @@
     Beat(Says),
     /// Of the register.
     Ask(Ask<Document>),
+    /// To have a change agreed on.
+    Change(Act),
 }
 
 /// An answer.
@@ -52,6 +84,9 @@
     pub number: u64,
     /// What it says.
     pub what: Said,
+    /// With what it took last: every model node that is out by order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unclear: Vec<Unclear>,
 }
 
 /// What is answered.
@@ -62,6 +97,8 @@
     Heard(Option<u64>),
     /// Of the register, and who is out, if this member can tell.
     Answer(Answer<Document>, Option<Vec<Place>>),
+    /// What became of a change; `None`: not known, no majority answered this member in time.
+    Changed(Option<Result<Document, No>>),
 }
 
 /// Which way a message goes: guards against a call that comes back as its own answer.
@@ -165,7 +202,7 @@
     const KEY: &str = "a key of sixteen bytes and more";
 
     fn call() -> Call {
-        Call { v: VERSION, from: 1, life: 2, number: 3, what: What::Beat(Says::Serving) }
+        Call { v: VERSION, from: 1, life: 2, number: 3, what: What::Beat(Says::Serving), tells: None }
     }
 
     fn opened(keys: &Keys, way: Way, bytes: &[u8]) -> Result<Call, String> {
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -230,6 +230,11 @@
         Some(silent).filter(|s| *s > self.limits.list_silence)
     }
 
+    /// Whether it has said something since the start, and not too long ago.
+    pub fn list_fresh(&self) -> bool {
+        self.list_heard.get().is_some() && self.list_silence().is_none()
+    }
+
     /// What is left of the budget for bodies.
     pub fn room(&self) -> usize {
         self.bodies.get()
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -13,7 +13,7 @@
 use tallypin_router::config::Config;
 use tallypin_router::dialect::Dialect;
 use tallypin_router::duty::Router;
-use tallypin_router::fleet::{orders, Fleet};
+use tallypin_router::fleet::{files, orders, Fleet};
 use tallypin_router::front::{self, Front};
 use tallypin_router::host::Host;
 use tallypin_router::installation::Installation;
@@ -26,6 +26,8 @@
 
 /// A command line, configuration or settings that can't be used.
 const UNUSABLE: u8 = 2;
+/// `fleet watch` looks so often.
+const LOOK: std::time::Duration = std::time::Duration::from_millis(500);
 
 fn main() -> ExitCode {
     let command = match cli::parse(lexopt::Parser::from_env()) {
@@ -49,6 +51,17 @@
             }
         }
         Command::Serve { settings } => {
+            // Before any of it is read: it may be what the program does not come up with.
+            if let Some(path) = &settings {
+                let configuration = std::env::var_os("PROXY_CONFIG").map(PathBuf::from);
+                for said in [Some(path.clone()), configuration]
+                    .into_iter()
+                    .flatten()
+                    .filter_map(|at| files::begin(&at))
+                {
+                    eprintln!("tallypin: {said}");
+                }
+            }
             let (config, installation) = match configure(settings.as_deref()) {
                 Ok(all) => all,
                 Err(why) => return unusable(&why),
@@ -83,6 +96,7 @@
                 }
             };
         }
+        Command::Watch { socket } => return watch(&socket),
         Command::Ctl { socket, order } => {
             match run(async { Ok(probe::order(&socket, &order).await?) }) {
                 Ok(line) => {
@@ -101,6 +115,32 @@
     ExitCode::SUCCESS
 }
 
+/// A line for each change of what is agreed on, until the release that is on has ended. A router that does not answer is
+/// asked again: it may be the one that goes out.
+fn watch(socket: &Path) -> ExitCode {
+    let mut last = serde_json::Value::Null;
+    let mut moved = false;
+    loop {
+        match run(async { Ok(probe::order(socket, "fleet status").await?) }) {
+            Ok(line) => {
+                let said: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+                if said["version"] != last["version"] || said["done"] != last["done"] {
+                    print!("{line}");
+                }
+                let phase = said["release"]["phase"].as_str().unwrap_or("");
+                moved |= matches!(phase, "running" | "back");
+                match phase {
+                    "done" if moved => return ExitCode::SUCCESS,
+                    "failed" | "undone" if moved => return ExitCode::FAILURE,
+                    _ => last = said,
+                }
+            }
+            Err(e) => eprintln!("tallypin: {}: {e}", socket.display()),
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
 fn unusable(why: &str) -> ExitCode {
     eprintln!("tallypin: {}", why.trim_end());
     ExitCode::from(UNUSABLE)
@@ -176,18 +216,24 @@
         host.outward.guard(installation.gate.clone());
         if installation.checks.is_some() || installation.control.is_some() {
             let started = Board::new(installation, host.outward.clone());
-            _listening = Some(checks::start(&host, &started).await?);
             let fleet = match installation.fleet.clone() {
-                Some(settings) => {
-                    let duty = Router { host: host.clone(), board: started.clone() };
-                    Some(to_fleet(Fleet::start(settings, Box::new(duty)).await?))
+                Some(of) => {
+                    let settings = settings.clone().unwrap_or_default();
+                    let duty = Router { host: host.clone(), board: started.clone(), settings };
+                    Some(Fleet::start(of, Box::new(duty)).await?)
                 }
                 None => None,
             };
             if let Some(control) = &installation.control {
                 let control = Control::bind(control).await?;
-                tokio::task::spawn_local(control.serve(host.clone(), started.clone(), fleet));
+                let orders = fleet.clone().map(to_fleet);
+                tokio::task::spawn_local(control.serve(host.clone(), started.clone(), orders));
+            }
+            // Before balancers and clients come.
+            if let Some(fleet) = &fleet {
+                fleet.first().await;
             }
+            _listening = Some(checks::start(&host, &started).await?);
             board = Some(started);
         }
         adopting = Some(Adopting::new(installation, board.clone(), Some(log.clone())));
--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -2,197 +2,16 @@
 //! processes killed and stopped. Who is out is seen from outside, as balancers see it.
 #![allow(missing_docs)]
 
-use std::fs::File;
+mod fleet_rig;
+
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use fleet_rig::{answer, config, row, send, Fleet, ONE, THREE};
 use serde_json::Value;
-use tallypin_standin::relay::{Link, Relay};
-
-/// What is awaited comes within this, or the test fails: far more than any of it takes.
-const PATIENCE: Duration = Duration::from_secs(30);
-const KEY: &str = "the key of this fleet of tests\n";
-
-fn free(ip: &str) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
-}
-
-struct Router {
-    name: String,
-    agent: SocketAddr,
-    at: SocketAddr,
-    dir: PathBuf,
-    child: Option<Child>,
-    front: SocketAddr,
-}
-
-struct Fleet {
-    routers: Vec<Router>,
-    /// By who calls and who is called.
-    relays: Vec<Vec<Option<Relay>>>,
-}
-
-impl Fleet {
-    /// So many routers, alternately of two zones, the first of them the council; `bounds` are lines of the settings.
-    fn new(test: &str, net: u8, routers: usize, council: usize, bounds: &str) -> Fleet {
-        let base = std::env::temp_dir().join(format!("tallypin-fleet-{test}-{}", std::process::id()));
-        let ip = |r: usize| format!("127.{net}.{}.1", r + 1);
-        let routers: Vec<Router> = (0..routers)
-            .map(|r| {
-                let (agent, at, front) = (free(&ip(r)), free(&ip(r)), free(&ip(r)));
-                let dir = base.join(format!("r{r}"));
-                std::fs::create_dir_all(&dir).unwrap();
-                Router { name: format!("r{r}"), agent, at, dir, child: None, front }
-            })
-            .collect();
-        let relay =
-            |from: usize, to: usize| (from != to).then(|| Relay::start(&ip(from), routers[to].at).unwrap());
-        let relays: Vec<Vec<_>> =
-            (0..routers.len()).map(|from| (0..routers.len()).map(|to| relay(from, to)).collect()).collect();
-        for (me, router) in routers.iter().enumerate() {
-            std::fs::write(router.dir.join("key"), KEY).unwrap();
-            std::fs::write(router.dir.join("config.json"), include_str!("../../examples/config.json"))
-                .unwrap();
-            let mut text = format!(
-                "log {{\n level warn\n target fleet debug\n}}\n\
-                 checks {{\n agent {{\n listen {}\n}}\n}}\ncontrol {{\n socket {}\n}}\n\
-                 drain {{\n least 1ms\n settle 1ms\n parting 1ms\n unknown-interval 1ms\n intervals 1\n}}\n\
-                 fleet {{\n name test\n me r{me}\n key {}\n beat 100ms\n silent 1500ms\n lease 1500ms\n\
-                 answer 400ms\n within 4s\n{bounds}\n council",
-                router.agent,
-                router.dir.join("ctl").display(),
-                router.dir.join("key").display(),
-            );
-            (0..council).for_each(|r| text += &format!(" r{r}"));
-            for (r, other) in routers.iter().enumerate() {
-                let at = relays[me][r].as_ref().map_or(other.at, |relay: &Relay| relay.at);
-                text += &format!("\n router r{r} {at} zone-{}", r % 2);
-            }
-            std::fs::write(router.dir.join("t.conf"), text + "\n}\n").unwrap();
-        }
-        let mut fleet = Fleet { routers, relays };
-        (0..fleet.routers.len()).for_each(|r| fleet.start(r));
-        fleet
-    }
-
-    /// The same, agreed on its first document and let go on.
-    fn begun(test: &str, net: u8, routers: usize, council: usize, bounds: &str) -> Fleet {
-        let fleet = Fleet::new(test, net, routers, council, bounds);
-        fleet.until("all are of the council", || fleet.order(0, "status")["halted"].is_string());
-        fleet.until("it goes on", || fleet.order(0, "resume")["done"] == true);
-        fleet
-    }
-
-    fn start(&mut self, r: usize) {
-        let router = &mut self.routers[r];
-        let log = File::options().create(true).append(true).open(router.dir.join("log")).unwrap();
-        let mut serve = Command::new(env!("CARGO_BIN_EXE_tallypin"));
-        serve.env_clear().arg("serve").arg("--settings").arg(router.dir.join("t.conf"));
-        serve.env("PROXY_CONFIG", router.dir.join("config.json")).env("PROXY_DISCOVERY", "127.0.0.1:9");
-        serve.env("PROXY_LISTEN", router.front.to_string()).stdout(Stdio::null()).stderr(log);
-        router.child = Some(serve.spawn().unwrap());
-    }
-
-    fn signal(&self, r: usize, name: &str) {
-        let id = self.routers[r].child.as_ref().unwrap().id();
-        assert!(Command::new("kill").args([name, &id.to_string()]).status().unwrap().success());
-    }
-
-    fn kill(&mut self, r: usize) {
-        let mut child = self.routers[r].child.take().unwrap();
-        child.kill().unwrap();
-        child.wait().unwrap();
-    }
-
-    /// An order at a router, as an operator gives it; what it prints, and `code`, the exit code.
-    fn order(&self, r: usize, order: &str) -> Value {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_tallypin"));
-        command.arg("fleet").arg("--socket").arg(self.routers[r].dir.join("ctl")).args(order.split(' '));
-        let out = command.output().unwrap();
-        let mut said: Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
-        if said.is_object() {
-            said["code"] = out.status.code().into();
-        }
-        said
-    }
-
-    /// Whether a router is out of service, as a balancer's check has it; `None`: it does not answer.
-    fn out(&self, r: usize) -> Option<bool> {
-        let mut stream = TcpStream::connect(self.routers[r].agent).ok()?;
-        stream.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
-        stream.write_all(b"\n").ok()?;
-        let mut said = String::new();
-        stream.read_to_string(&mut said).ok()?;
-        Some(!said.contains("ready"))
-    }
-
-    /// Who is out at one moment: asked one after the other, so whoever is out both before and after the others were asked.
-    fn all_out(&self) -> Vec<usize> {
-        let mut out: Vec<usize> = (0..self.routers.len()).filter(|&r| self.out(r) == Some(true)).collect();
-        out.retain(|&r| self.out(r) == Some(true));
-        out
-    }
-
-    /// Waits until it is so; what is out by the way must never be more than `most`.
-    fn until_within(&self, what: &str, most: usize, so: impl Fn() -> bool) {
-        let begun = Instant::now();
-        while !so() {
-            let out = self.all_out();
-            assert!(out.len() <= most, "{out:?} are out at once: {what}");
-            assert!(begun.elapsed() < PATIENCE, "not in time: {what}; {}", self.order(0, "status"));
-        }
-    }
-
-    fn until(&self, what: &str, so: impl Fn() -> bool) {
-        self.until_within(what, usize::MAX, so);
-    }
-
-    /// The order that a router is out, or to go, by, and how far it has come.
-    fn stage(&self, at: usize, of: usize) -> String {
-        let said = self.order(at, "status");
-        let name = self.routers[of].name.as_str();
-        let entry = said["entries"].as_array().and_then(|all| all.iter().find(|e| e["router"] == name));
-        entry.map_or(String::new(), |e| e["stage"].as_str().unwrap_or_default().to_string())
-    }
-
-    /// How often a router has asked for leave and was refused for want of room, as its log tells.
-    fn refused(&self, r: usize) -> usize {
-        self.log(r)
-            .lines()
-            .filter(|l| l.contains("not now act=Leave") && l.contains("may be out at once"))
-            .count()
-    }
-
-    fn log(&self, r: usize) -> String {
-        std::fs::read_to_string(self.routers[r].dir.join("log")).unwrap()
-    }
-
-    /// Links between two sides, both ways.
-    fn between(&self, one: &[usize], other: &[usize], link: Link) {
-        let pairs = one.iter().flat_map(|&a| other.iter().flat_map(move |&b| [(a, b), (b, a)]));
-        pairs.for_each(|(from, to)| self.relays[from][to].as_ref().unwrap().set(link));
-    }
-}
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for router in &mut self.routers {
-            if let Some(mut child) = router.child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-            if !std::thread::panicking() {
-                let _ = std::fs::remove_dir_all(&router.dir);
-            }
-        }
-    }
-}
-
-const ONE: &str = " out-most 1\n out-zone 1";
-const THREE: &str = " out-most 3\n out-zone 2";
+use tallypin_standin::park::{Does, List, Node};
+use tallypin_standin::relay::Link;
 
 /// Two operators at two routers want two of different zones out: one after the other goes, and never both.
 #[test]
@@ -222,7 +41,7 @@
 /// What fails fills the bound like what is planned; when it is back there is room again.
 #[test]
 fn no_planned_drain_begins_while_a_failure_fills_the_bound() {
-    let mut fleet = Fleet::begun("fail", 42, 4, 3, ONE);
+    let fleet = Fleet::begun("fail", 42, 4, 3, ONE);
     fleet.kill(3);
     fleet.until("its silence is known", || fleet.order(0, "status")["out_here"] == serde_json::json!(["r3"]));
     assert_eq!(fleet.order(1, "drain r2")["code"], 0);
@@ -236,7 +55,7 @@
 /// A halt that was answered outlives the router that answered it, and a router that was stopped meanwhile.
 #[test]
 fn a_halt_that_was_answered_holds_whoever_is_killed_or_stopped() {
-    let mut fleet = Fleet::begun("halt", 43, 5, 3, THREE);
+    let fleet = Fleet::begun("halt", 43, 5, 3, THREE);
     // Stopped before it hears of its order: it wakes up to a halt.
     fleet.signal(4, "-STOP");
     assert_eq!(fleet.order(0, "drain r4 r3")["code"], 0);
@@ -257,8 +76,8 @@
 /// Cut off from the others a minority starts nothing, says so, and serves on; the others go on. Healed, all say the same.
 #[test]
 fn a_minority_starts_nothing_and_the_majority_goes_on() {
-    let fleet = Fleet::begun("cut", 44, 5, 5, THREE);
-    fleet.between(&[0, 1], &[2, 3, 4], Link::Cut);
+    let fleet = Fleet::begun("cut", 44, 6, 5, THREE);
+    fleet.between(&[0, 1], &[2, 3, 4, 5], Link::Cut);
     let asked = Instant::now();
     let said = fleet.order(0, "drain r1");
     assert!(said["code"] == 1 && said["why"].as_str().unwrap().contains("no majority"), "{said}");
@@ -266,12 +85,14 @@
     fleet.until("the others know who is cut off", || {
         fleet.order(2, "status")["out_here"] == serde_json::json!(["r0", "r1"])
     });
-    assert_eq!(fleet.order(3, "drain r4")["code"], 0);
-    fleet.until("the third of three goes out", || fleet.out(4) == Some(true));
+    // With another one out the council could lose what it remembers; r5 is not of it.
+    assert_eq!(fleet.order(3, "drain r4 r5")["code"], 0);
+    fleet.until("the third of three goes out", || fleet.out(5) == Some(true));
+    assert_eq!((fleet.out(4), fleet.stage(3, 4).as_str()), (Some(false), "wanted"));
     assert_eq!((fleet.out(0), fleet.out(1)), (Some(false), Some(false)), "they serve on");
-    fleet.between(&[0, 1], &[2, 3, 4], Link::Whole);
+    fleet.between(&[0, 1], &[2, 3, 4, 5], Link::Whole);
     fleet.until("all say the same", || {
-        let said: Vec<Value> = (0..5).map(|r| fleet.order(r, "status")).collect();
+        let said: Vec<Value> = (0..6).map(|r| fleet.order(r, "status")).collect();
         said.iter().all(|s| s["code"] == 0 && s["entries"] == said[3]["entries"])
     });
 }
@@ -301,13 +122,13 @@
     let again = fleet.order(2, "--id tuesday drain r1");
     assert!(again["code"] == 0 && again["entries"] == serde_json::json!([]), "{again}");
     let unknown = fleet.order(0, "drain r9");
-    assert!(unknown["code"] == 1 && unknown["why"] == "the fleet has no router `r9`", "{unknown}");
+    assert!(unknown["code"] == 1 && unknown["why"].as_str().unwrap().contains("no router `r9`"), "{unknown}");
 }
 
 /// A member that is killed and starts anew remembers nothing and takes part again; when all have, they begin halted.
 #[test]
 fn members_that_forget_join_again_and_a_fleet_that_forgets_begins_halted() {
-    let mut fleet = Fleet::begun("anew", 47, 3, 3, ONE);
+    let fleet = Fleet::begun("anew", 47, 3, 3, ONE);
     assert_eq!(fleet.order(0, "drain r2")["code"], 0);
     fleet.until("r2 is out", || fleet.stage(0, 2) == "out");
     for r in [0, 1] {
@@ -352,3 +173,327 @@
     let said = fleet.order(0, "halt");
     assert!(said["code"] == 0 && said["out_here"] == serde_json::json!([]), "and it goes on: {said}");
 }
+
+// ---- Model nodes ----
+
+const NODES: &str = " out-most 2\n out-zone 1\n nodes-out-most 1";
+
+/// What the fleet says of a model node: its stage, whether it is clear, and who keeps it from being so.
+fn said_of(fleet: &Fleet, at: usize, node: &str) -> (String, bool, Value) {
+    let said = fleet.order(at, "status");
+    let entry = said["nodes"].as_array().and_then(|all| all.iter().find(|n| n["node"] == node)).cloned();
+    let entry = entry.unwrap_or_default();
+    (entry["stage"].as_str().unwrap_or("").into(), entry["clear"] == true, entry["first"].clone())
+}
+
+/// Requests through all routers, each with a whole answer. One that starves for processors may refuse some.
+fn serves(fleet: &Fleet, each: usize) {
+    for r in 0..fleet.routers.len() {
+        let answers: Vec<_> = (0..each).map(|_| answer(send(fleet.routers[r].front))).collect();
+        assert!(answers.iter().all(|a| matches!(a, (200 | 503, true))), "through r{r}: {answers:?}");
+    }
+}
+
+/// Taken out at one router, all send nothing new there, whatever becomes of the node's entry in the list and of routers;
+/// it is clear when the last stream there has ended; and it comes back cold, so the next one waits.
+#[test]
+fn a_model_node_that_is_taken_out_is_out_for_all_until_it_is_put_back() {
+    let nodes: Vec<Node> = (0..3).map(|_| Node::start("127.49.9.1")).collect();
+    let rows = |first: &Node, started: u64| {
+        vec![row("n0", first, started), row("n1", &nodes[1], 1), row("n2", &nodes[2], 1)]
+    };
+    let list = List::start("127.49.9.1", &rows(&nodes[0], 1));
+    let fleet = Fleet::with("nodes", 49, 3, 3, NODES, &config(&list));
+    fleet.until("all serve", || (0..3).all(|r| answer(send(fleet.routers[r].front)) == (200, true)));
+    nodes[0].does(Does::Holds);
+    // One after the other, until one is held there.
+    let held = loop {
+        let before: Vec<usize> = nodes.iter().map(Node::served).collect();
+        let stream = send(fleet.routers[1].front);
+        fleet.until("it has come somewhere", || nodes.iter().zip(&before).any(|(n, b)| n.served() > *b));
+        match nodes[0].served() > before[0] {
+            true => break stream,
+            false => drop(answer(stream)),
+        }
+    };
+    let unknown = fleet.order(2, "take-out n7");
+    assert!(unknown["code"] == 1 && unknown["why"].as_str().unwrap().contains("`n7`"), "{unknown}");
+    assert_eq!(fleet.order(2, "take-out n0")["code"], 0);
+    fleet.until("only r1, which has a stream there, keeps it", || {
+        said_of(&fleet, 0, "n0") == ("out".into(), false, serde_json::json!(["r1"]))
+    });
+    let before = nodes[0].served();
+    serves(&fleet, 10);
+    // One may be out: another waits.
+    assert_eq!(fleet.order(0, "take-out n1")["code"], 0);
+    nodes[0].does(Does::Answers);
+    assert_eq!(answer(held), (200, true), "what was open there ended as ever");
+    fleet.until("it is clear", || said_of(&fleet, 1, "n0").1);
+    // It starts again, elsewhere; a router starts anew; the list is told anew: it is still out.
+    let elsewhere = Node::start("127.49.9.1");
+    list.set(&rows(&elsewhere, 2));
+    fleet.kill(0);
+    fleet.start(0);
+    fleet.until("r0 is back", || answer(send(fleet.routers[0].front)) == (200, true));
+    serves(&fleet, 10);
+    assert_eq!((nodes[0].served(), elsewhere.served()), (before, 0), "nothing new went there");
+    assert_eq!(said_of(&fleet, 1, "n1").0, "wanted", "one is out, and one may be");
+    assert_eq!(fleet.order(1, "put-back n0")["code"], 0);
+    fleet.until("it serves again", || {
+        serves(&fleet, 1);
+        elsewhere.served() > 0
+    });
+    fleet.until("n0 is warm, and n1 goes", || {
+        serves(&fleet, 1);
+        said_of(&fleet, 1, "n1").0 == "out"
+    });
+    assert_eq!(fleet.order(1, "put-back n1")["code"], 0);
+}
+
+/// For a stated time: it comes back by itself, whoever of the council is dead.
+#[test]
+fn a_model_node_that_is_out_for_a_time_comes_back_without_an_order() {
+    let nodes: Vec<Node> = (0..2).map(|_| Node::start("127.50.9.1")).collect();
+    let rows = [row("n0", &nodes[0], 1), row("n1", &nodes[1], 1)];
+    let list = List::start("127.50.9.1", &rows);
+    let fleet = Fleet::with("time", 50, 3, 3, NODES, &config(&list));
+    fleet.until("the list is heard", || answer(send(fleet.routers[1].front)) == (200, true));
+    fleet.until("n0 is known", || fleet.order(1, "take-out n0 for 2s")["code"] == 0);
+    fleet.kill(0);
+    fleet.until("it is out", || said_of(&fleet, 1, "n0").0 == "out");
+    fleet.until("it is back", || said_of(&fleet, 2, "n0").0 == "back");
+}
+
+// ---- Releases ----
+
+/// Puts a file that is to be released in the store of each router, under its digest, and writes the plan.
+fn planned(
+    fleet: &Fleet,
+    what: &str,
+    change: impl Fn(usize, &str) -> String,
+    more: &str,
+) -> (String, String) {
+    // Settings differ by router, so a release of them names one file for each by its own digest: a configuration is
+    // the same for all here.
+    let file = if what == "settings" { "t.conf" } else { "config.json" };
+    let text = std::fs::read_to_string(fleet.routers[0].dir.join(file)).unwrap();
+    let new = change(0, &text);
+    let digest = blake3::hash(new.as_bytes()).to_hex().to_string();
+    for router in &fleet.routers {
+        std::fs::write(router.dir.join("store").join(&digest), &new).unwrap();
+    }
+    let plan = fleet.routers[0].dir.join("plan");
+    let text = format!("release {{\n what {what}\n digest {digest}\n{more}\n}}\n");
+    std::fs::write(&plan, text).unwrap();
+    (format!("release {}", plan.display()), digest)
+}
+
+fn phase(fleet: &Fleet, at: usize) -> String {
+    fleet.order(at, "status")["release"]["phase"].as_str().unwrap_or("").into()
+}
+
+/// The configuration that a router would start with.
+fn there(fleet: &Fleet, r: usize) -> String {
+    let bytes = std::fs::read(fleet.routers[r].dir.join("config.json")).unwrap();
+    blake3::hash(&bytes).to_hex().to_string()
+}
+
+fn starts(fleet: &Fleet) -> Vec<usize> {
+    fleet.routers.iter().map(|r| r.starts.load(std::sync::atomic::Ordering::SeqCst)).collect()
+}
+
+fn released(test: &str, net: u8, list: &List) -> Fleet {
+    let fleet = Fleet::with(test, net, 5, 3, " out-most 2\n out-zone 1", &config(list));
+    fleet.supervised.store(true, std::sync::atomic::Ordering::SeqCst);
+    fleet
+}
+
+const WAVES: &str = " wave r3\n wave rest\n watch 300ms\n ready 20s\n enough 0";
+/// Another seed: a configuration like the one before.
+fn reseeded(_: usize, text: &str) -> String {
+    text.replace("8c1f30d27a5be964", "8c1f30d27a5be965")
+}
+
+/// In waves, one after the other, each router ends, starts with what is released and is seen ready; the one that asks for
+/// the waves is killed meanwhile.
+#[test]
+fn a_release_goes_in_waves_though_the_member_that_conducts_it_is_killed() {
+    let node = Node::start("127.51.9.1");
+    let list = List::start("127.51.9.1", &[row("n0", &node, 1)]);
+    let fleet = released("waves", 51, &list);
+    let old = there(&fleet, 0);
+    let (order, digest) = planned(&fleet, "configuration", reseeded, WAVES);
+    let said = fleet.order(2, &format!("--id v2 {order}"));
+    assert_eq!((&said["code"], &said["release"]["phase"]), (&0.into(), &"running".into()), "{said}");
+    let busy = fleet.order(1, &order);
+    assert!(busy["why"].as_str().unwrap().contains("release v2 is on"), "{busy}");
+    fleet.until_within("r3 is out", 2, || fleet.stage(1, 3) == "out");
+    assert_eq!(starts(&fleet), [1, 1, 1, 1, 1], "r3 first, and alone");
+    fleet.kill(0);
+    fleet.until_within("the first wave is done", 2, || fleet.order(1, "status")["release"]["wave"] == 2);
+    assert_eq!((there(&fleet, 3), there(&fleet, 4)), (digest.clone(), old));
+    fleet.start(0);
+    fleet.until_within("all run it", 2, || phase(&fleet, 1) == "done");
+    assert!((0..5).all(|r| there(&fleet, r) == digest));
+    assert_eq!(starts(&fleet), [3, 2, 2, 2, 2]);
+    assert_eq!(answer(send(fleet.routers[4].front)), (200, true));
+    assert!((0..5).all(|r| !fleet.routers[r].dir.join("config.json.trial").exists()), "the trials are over");
+}
+
+/// From the middle of the second wave: all that ran it run again what they ran before, and nobody else went.
+#[test]
+fn a_release_is_undone_from_the_middle_of_a_wave() {
+    let node = Node::start("127.52.9.1");
+    let list = List::start("127.52.9.1", &[row("n0", &node, 1)]);
+    let fleet = released("back", 52, &list);
+    let old = there(&fleet, 0);
+    let (order, digest) = planned(
+        &fleet,
+        "configuration",
+        reseeded,
+        " wave r3\n wave r4 r0\n wave rest\n watch 300ms\n enough 0",
+    );
+    assert_eq!(fleet.order(2, &order)["code"], 0);
+    fleet.until_within("one of the second wave is out", 2, || {
+        fleet.stage(1, 4) == "out" || fleet.stage(1, 0) == "out"
+    });
+    assert_eq!(there(&fleet, 3), digest);
+    let said = fleet.order(1, "back late answers");
+    assert_eq!((&said["code"], &said["release"]["cause"]), (&0.into(), &"late answers".into()), "{said}");
+    fleet.until_within("it is undone", 2, || phase(&fleet, 2) == "undone");
+    assert!((0..5).all(|r| there(&fleet, r) == old));
+    assert_eq!((starts(&fleet)[1], starts(&fleet)[2]), (1, 1), "the third wave never went");
+    fleet.until_within("all serve", 0, || fleet.all_out().is_empty());
+}
+
+/// A release that the program does not come up with: the router goes back by itself, and the release with it.
+#[test]
+fn what_does_not_start_goes_back_by_itself_and_stays_at_one_router() {
+    let node = Node::start("127.53.9.1");
+    let list = List::start("127.53.9.1", &[row("n0", &node, 1)]);
+    let fleet = released("crash", 53, &list);
+    let old = there(&fleet, 0);
+    // It parses, and the program ends at once: its peers' address is another's.
+    let taken = std::net::UdpSocket::bind("127.53.9.1:0").unwrap();
+    let at = taken.local_addr().unwrap();
+    let crashes = |_: usize, text: &str| {
+        let text =
+            text.replace("\"peers\": [],", &format!("\"peers\": [\"{at}\"], \"peer_listen\": \"{at}\","));
+        text.replace("\"Peers\": false", "\"Peers\": true")
+    };
+    let (order, digest) = planned(&fleet, "configuration", crashes, &format!("{WAVES}\n on-failure back"));
+    assert_eq!(fleet.order(2, &order)["code"], 0);
+    fleet.until_within("it crashes again and again, and is undone", 2, || phase(&fleet, 1) == "undone");
+    assert!(starts(&fleet)[3] > 3, "{:?}", starts(&fleet));
+    assert_ne!(digest, old);
+    assert!((0..5).all(|r| there(&fleet, r) == old));
+    assert_eq!([0, 1, 2, 4].map(|r| starts(&fleet)[r]), [1; 4], "nobody else went");
+    fleet.until("all serve", || fleet.all_out().is_empty() && fleet.out(3) == Some(false));
+}
+
+/// A release that starts and answers 500: seen by its answers against those of the others, and halted.
+#[test]
+fn what_answers_badly_is_halted_after_the_first_router() {
+    let (good, bad) = (Node::start("127.54.9.1"), Node::start("127.54.9.1"));
+    bad.does(Does::Fails);
+    let (list, wrong) = ("127.54.9.1", "127.54.9.1");
+    let list = List::start(list, &[row("n0", &good, 1)]);
+    let wrong = List::start(wrong, &[row("n0", &bad, 1)]);
+    let fleet = released("bad", 54, &list);
+    let elsewhere = |_: usize, text: &str| text.replace(&list.at.to_string(), &wrong.at.to_string());
+    let plan = " wave r3\n wave rest\n watch 300ms\n ready 20s\n enough 20";
+    let (order, digest) = planned(&fleet, "configuration", elsewhere, plan);
+    assert_eq!(fleet.order(2, &order)["code"], 0);
+    let over = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|s| {
+        for r in 0..5 {
+            let (fleet, over) = (&fleet, &over);
+            s.spawn(move || {
+                while !over.load(std::sync::atomic::Ordering::SeqCst) {
+                    answer(send(fleet.routers[r].front));
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+            });
+        }
+        let told = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            fleet.until_within("it is told by its answers", 2, || phase(&fleet, 1) == "failed");
+        }));
+        // Whatever came of it: the clients would go on for ever.
+        over.store(true, std::sync::atomic::Ordering::SeqCst);
+        told.unwrap();
+    });
+    let said = fleet.order(4, "status");
+    assert!(said["halted"].as_str().unwrap().contains("where it is released"), "{said}");
+    assert_eq!([0, 1, 2, 4].map(|r| starts(&fleet)[r]), [1; 4], "nobody else went");
+    assert_eq!(there(&fleet, 3), digest);
+    // The way back waits for whoever halted to let it go on.
+    assert_eq!(fleet.order(0, "back")["code"], 0);
+    fleet.until("r3 wants to", || fleet.stage(0, 3) == "wanted");
+    assert_eq!(there(&fleet, 3), digest);
+    assert_eq!(fleet.order(0, "resume")["code"], 0);
+    fleet.until_within("it is undone", 2, || phase(&fleet, 1) == "undone");
+    assert_ne!(there(&fleet, 3), digest);
+    fleet.until("r3 serves well", || answer(send(fleet.routers[3].front)) == (200, true));
+}
+
+/// Disks that have lost or torn what is released, or can't be written: its wave fails before anybody drains, or the router
+/// comes back as it was.
+#[test]
+fn what_a_disk_has_lost_or_torn_is_not_run() {
+    let node = Node::start("127.55.9.1");
+    let list = List::start("127.55.9.1", &[row("n0", &node, 1)]);
+    let fleet = released("disk", 55, &list);
+    let old = there(&fleet, 0);
+    let (order, digest) = planned(&fleet, "configuration", reseeded, WAVES);
+    let stored = fleet.routers[3].dir.join("store").join(&digest);
+    let whole = std::fs::read(&stored).unwrap();
+    let damage: [(&str, &dyn Fn()); 3] = [
+        ("torn", &|| std::fs::write(&stored, &whole[..whole.len() / 2]).unwrap()),
+        ("flipped", &|| {
+            std::fs::write(&stored, [&whole[..9], &[whole[9] ^ 1], &whole[10..]].concat()).unwrap()
+        }),
+        ("lost", &|| std::fs::remove_file(&stored).unwrap()),
+    ];
+    for (name, damage) in damage {
+        damage();
+        assert_eq!(fleet.order(2, &order)["code"], 0, "{name}");
+        fleet.until_within("it fails", 0, || phase(&fleet, 1) == "failed");
+        assert_eq!((there(&fleet, 3), starts(&fleet)[3]), (old.clone(), 1), "{name}");
+        assert_eq!(fleet.order(0, "resume")["code"], 0);
+    }
+    // What is to be put in place can't be, once it is out: it serves again, as it was.
+    std::fs::write(&stored, &whole).unwrap();
+    std::fs::create_dir(fleet.routers[3].dir.join("config.json.trial")).unwrap();
+    assert_eq!(fleet.order(2, &order)["code"], 0);
+    fleet.until_within("it fails", 2, || phase(&fleet, 1) == "failed");
+    fleet.until("r3 serves again", || fleet.out(3) == Some(false) && fleet.stage(0, 3).is_empty());
+    assert_eq!((there(&fleet, 3), starts(&fleet)), (old, vec![1; 5]));
+}
+
+/// Two of three of the council are killed in the middle of a release, and forget: the third keeps what it knows, halted,
+/// and the release goes on when an operator says so.
+#[test]
+fn a_release_outlives_a_majority_that_forgets() {
+    let node = Node::start("127.56.9.1");
+    let list = List::start("127.56.9.1", &[row("n0", &node, 1)]);
+    let fleet = released("forget", 56, &list);
+    let (order, digest) = planned(&fleet, "configuration", reseeded, WAVES);
+    assert_eq!(fleet.order(2, &order)["code"], 0);
+    fleet.until_within("r3 is out", 2, || fleet.stage(2, 3) == "out");
+    fleet.kill(0);
+    fleet.kill(1);
+    fleet.start(0);
+    fleet.start(1);
+    let lost = "most of the council's memory was lost, what was agreed on last may be";
+    fleet.until("they begin on what one remembers", || fleet.order(1, "status")["halted"] == lost);
+    let said = fleet.order(0, "status");
+    assert_eq!(
+        (&said["release"]["phase"], &said["release"]["digest"]),
+        (&"running".into(), &digest.as_str().into())
+    );
+    let gone = starts(&fleet);
+    (0..10).for_each(|_| assert_eq!(starts(&fleet), gone, "nothing begins"));
+    assert_eq!(fleet.order(0, "resume")["code"], 0);
+    fleet.until("all run it", || phase(&fleet, 4) == "done");
+    assert!((0..5).all(|r| there(&fleet, r) == digest));
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod balancer;
 pub mod checkers;
+pub mod park;
 pub mod relay;
