--- a/accord/src/document.rs
+++ b/accord/src/document.rs
@@ -16,6 +16,7 @@
 use tallypin_members::Place;
 
 use crate::nodes::{self, NodeBounds, NodeEntry, NodeSeen, NodeStage, NodesFull, UnixMs};
+use crate::register::Member;
 use crate::release::{Phase, Plan, Release, MOST_TRIES, MOST_WAVES};
 
 /// Orders that are remembered, so that one that is sent again does not run again.
@@ -23,6 +24,8 @@
 /// The longest id of an order, and the longest cause of a halt, bytes.
 pub const LONGEST_WORD: usize = 64;
 
+/// As many of a wave are told to go at once, at the least.
+const LEAST_TOLD: usize = 4;
 /// Versions that are passed over when some may be lost: far more than are agreed on while a majority forgets.
 const LOST: u64 = 1_000_000;
 /// The longest cause that a check gives, characters.
@@ -127,6 +130,8 @@
 pub enum Act {
     /// None: to see what is agreed on.
     Look,
+    /// None to the document: a member of the council that has restarted takes part again in this life.
+    Join(Member, u64),
     /// An operator wants these to go out.
     Drain {
         /// The order's id.
@@ -213,6 +218,23 @@
     Serves(Place, u64),
 }
 
+impl Act {
+    /// Whether an operator wants it.
+    pub fn is_order(&self) -> bool {
+        matches!(
+            self,
+            Act::Drain { .. }
+                | Act::PutBack { .. }
+                | Act::Halt { .. }
+                | Act::Resume { .. }
+                | Act::TakeOut { .. }
+                | Act::PutBackNodes { .. }
+                | Act::Release { .. }
+                | Act::Undo { .. }
+        )
+    }
+}
+
 /// Why a change is not made.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -320,7 +342,7 @@
             false => Err(No::Unknown(place)),
         };
         match act {
-            Act::Look => return Ok(new),
+            Act::Look | Act::Join(..) => return Ok(new),
             Act::Drain { order, .. }
             | Act::PutBack { order, .. }
             | Act::Halt { order, .. }
@@ -350,7 +372,7 @@
             _ => {}
         }
         match act {
-            Act::Look => {}
+            Act::Look | Act::Join(..) => {}
             Act::Drain { order, routers } => {
                 for &place in routers {
                     known(place)?;
@@ -494,6 +516,7 @@
                 }
             }
         }
+        new.want_wave(bounds);
         new.version = self.version.saturating_add(1);
         Ok(new)
     }
@@ -572,24 +595,29 @@
             digest: digest.into(),
             waves: waves.to_vec(),
             wave: 0,
+            told: 0,
             phase: Phase::Running,
             before: BTreeMap::new(),
             plan: plan.clone(),
         }));
-        self.want_wave();
         Ok(())
     }
 
-    /// The routers of the present wave are to go out: for what is released, or for what they ran before.
-    fn want_wave(&mut self) {
-        let Some(r) = &self.release else { return };
-        for place in r.waves.get(r.wave).into_iter().flatten() {
+    /// The routers of the present wave are to go out, for what is released or for what they ran before: a few more than
+    /// may at once. Guards against a wave of hundreds that all ask for leave, and a document that is sent with all of them.
+    fn want_wave(&mut self, bounds: &Bounds) {
+        let Some(r) = self.release.as_mut().filter(|r| r.moves()) else { return };
+        let wave = r.waves.get(r.wave).map_or(&[][..], Vec::as_slice);
+        let mut open = self.entries.values().filter(|e| e.order == r.order).count();
+        while let Some(place) = wave.get(r.told).filter(|_| open < (2 * bounds.all).max(LEAST_TOLD)) {
+            r.told += 1;
             let to = match r.phase {
                 Phase::Back(_) => r.before.get(place),
                 _ => Some(&r.digest),
             };
             if to.is_some() {
                 self.entries.entry(*place).or_insert_with(|| Entry::wanted(&r.order, to));
+                open += 1;
             }
         }
     }
@@ -602,15 +630,13 @@
         if self.entries.values().any(|e| e.order == r.order) {
             return Err(No::Nothing);
         }
+        r.told = 0;
         match (&r.phase, r.wave) {
             (Phase::Back(why), 0) => r.phase = Phase::Undone(why.clone()),
             (Phase::Back(_), _) => r.wave -= 1,
             _ if r.wave + 1 == r.waves.len() => r.phase = Phase::Done,
             _ => r.wave += 1,
         }
-        if r.moves() {
-            self.want_wave();
-        }
         Ok(())
     }
 
@@ -635,7 +661,7 @@
         if matches!(r.phase, Phase::Back(_) | Phase::Undone(_)) {
             return Err(No::Nothing);
         }
-        r.phase = Phase::Back(why.into());
+        (r.phase, r.told) = (Phase::Back(why.into()), 0);
         let order = r.order.clone();
         self.entries.retain(|_, e| e.order != order || e.stage != Stage::Wanted);
         for e in self.entries.values_mut().filter(|e| e.order == order) {
@@ -643,7 +669,6 @@
                 e.stage = Stage::Back(life);
             }
         }
-        self.want_wave();
         Ok(())
     }
 
--- a/accord/src/register.rs
+++ b/accord/src/register.rs
@@ -35,7 +35,7 @@
 }
 
 /// The value: what is agreed on, and the lives of the members that count.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Value<D> {
     /// By member.
     pub lives: Vec<u64>,
@@ -44,7 +44,7 @@
 }
 
 /// What a member is asked.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ask<D> {
     /// What it took last; nothing is promised.
@@ -58,7 +58,7 @@
 }
 
 /// What it answers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Answer<D> {
     /// What it took last.
@@ -91,7 +91,7 @@
 
 /// Deliberate mistakes, one at a time. The tests have to find each.
 #[cfg(feature = "defects")]
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Defect {
     /// A promise counts whatever life gave it.
     AnyLife,
@@ -111,7 +111,7 @@
 
 /// Without the feature there are none, and what asks for one is compiled away.
 #[cfg(not(feature = "defects"))]
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Defect {}
 
 macro_rules! defect {
@@ -125,7 +125,7 @@
 }
 
 /// What a member of the council keeps.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Keeper<D> {
     life: u64,
     joined: bool,
@@ -221,12 +221,12 @@
 }
 
 /// One round, at its proposer.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Round<D> {
     ballot: Ballot,
     members: usize,
-    /// The member that joins by this round, and its new life. It is blank, so it has no say in it.
-    joins: Option<(Member, u64)>,
+    /// The members that join by this round, and their new lives. They are blank, so they have no say in it.
+    joins: Vec<(Member, u64)>,
     answers: Vec<Option<Said<D>>>,
     value: Option<Value<D>>,
     extra: usize,
@@ -240,12 +240,12 @@
     /// A round of this number before so many members.
     pub fn new(ballot: Ballot, members: usize) -> Round<D> {
         let answers = vec![None; members];
-        Round { ballot, members, joins: None, answers, value: None, extra: 0, defect: None }
+        Round { ballot, members, joins: vec![], answers, value: None, extra: 0, defect: None }
     }
 
-    /// One by which a member that has restarted joins.
-    pub fn joining(ballot: Ballot, members: usize, member: Member, life: u64) -> Round<D> {
-        Round { joins: Some((member, life)), ..Round::new(ballot, members) }
+    /// One by which members that have restarted join, in these lives.
+    pub fn joining(ballot: Ballot, members: usize, joins: Vec<(Member, u64)>) -> Round<D> {
+        Round { joins, ..Round::new(ballot, members) }
     }
 
     /// The same with a mistake.
@@ -337,10 +337,9 @@
     pub fn propose(&mut self, document: D) {
         let Some((_, newest)) = self.newest() else { return };
         let mut lives = newest.lives.clone();
-        if let Some((member, life)) = self.joins {
-            if let Some(old) = lives.get_mut(usize::from(member)) {
-                *old = life;
-            }
+        for (member, life) in &self.joins {
+            // What was asked for in an earlier life, and comes late, undoes no later one.
+            lives.get_mut(usize::from(*member)).into_iter().for_each(|of| *of = (*of).max(*life));
         }
         self.value = Some(Value { lives, document });
         (self.answers, self.extra) = (vec![None; self.members], 0);
@@ -353,14 +352,14 @@
 /// What is agreed on by what members have told: what a majority, in the lives that count, took last. Whatever was agreed
 /// on before they were asked, one of them would have told. It promises nothing and so stops no round: guards against many
 /// that look, again and again, and let nobody change anything. `None`: not to be told by this, a round can tell.
-pub fn agreed<D: Clone>(told: &Told<D>) -> Option<Value<D>> {
+pub fn agreed<D: Clone>(told: &Told<D>) -> Option<(Ballot, Value<D>)> {
     told.iter().flatten().filter_map(|(_, taken)| taken.as_ref()).find_map(|(ballot, value)| {
         let same = |(member, said): &(usize, &Option<Said<D>>)| {
             said.as_ref().is_some_and(|(life, taken)| {
                 value.lives.get(*member) == Some(life) && taken.as_ref().is_some_and(|(b, _)| b == ballot)
             })
         };
-        (told.iter().enumerate().filter(same).count() * 2 > told.len()).then(|| value.clone())
+        (told.iter().enumerate().filter(same).count() * 2 > told.len()).then(|| (*ballot, value.clone()))
     })
 }
 
@@ -443,9 +442,9 @@
         play(&mut all, Round::new(ballot(2, 0), 3), &[0, 1]);
         all[0] = Keeper::blank(100);
         assert_eq!(play(&mut all, Round::new(ballot(3, 1), 3), &[0, 2]), Step::Wait, "blank, and one");
-        let alone = Round::joining(ballot(4, 0), 3, 0, 100);
+        let alone = Round::joining(ballot(4, 0), 3, vec![(0, 100)]);
         assert_eq!(play(&mut all, alone, &[0, 1]), Step::Wait, "itself does not count");
-        let joined = play(&mut all, Round::joining(ballot(5, 0), 3, 0, 100), &[1, 2]);
+        let joined = play(&mut all, Round::joining(ballot(5, 0), 3, vec![(0, 100)]), &[1, 2]);
         let Step::Agreed(value) = joined else { panic!("{joined:?}") };
         assert_eq!((value.lives[0], value.document), (100, 2), "what was agreed on before is kept");
         all[0].join(ballot(5, 0), value);
--- a/accord/src/release.rs
+++ b/accord/src/release.rs
@@ -59,6 +59,9 @@
     pub waves: Vec<Vec<Place>>,
     /// The wave that it is at.
     pub wave: usize,
+    /// How many of the wave have been told to go, or need not.
+    #[serde(default)]
+    pub told: usize,
     /// How it stands.
     pub phase: Phase,
     /// What each that has gone out for it ran before.
--- a/accord/tests/fleet.rs
+++ b/accord/tests/fleet.rs
@@ -176,7 +176,7 @@
         let ballot = Ballot { number: 0, by: r as u16, life: router.life }.above(router.seen);
         router.seen = ballot;
         let round = match &router.keeper {
-            Some(k) if !k.joined() => Round::joining(ballot, COUNCIL, r as u8, router.life),
+            Some(k) if !k.joined() => Round::joining(ballot, COUNCIL, vec![(r as u8, router.life)]),
             _ => Round::new(ballot, COUNCIL),
         };
         router.round = Some((round, act, now, View { wanted: COUNCIL / 2 + 1, ..View::default() }));
@@ -230,7 +230,7 @@
                 }
             })
             .collect();
-        if let Some(value) = agreed(&told) {
+        if let Some((_, value)) = agreed(&told) {
             self.routers[r].known = Some(value.document);
         }
     }
--- a/accord/tests/net.rs
+++ b/accord/tests/net.rs
@@ -89,7 +89,7 @@
         proposer.seen = ballot;
         proposer.joins = (p < n && !self.members[p].joined()).then_some(p);
         let round = match proposer.joins {
-            Some(m) => Round::joining(ballot, n, m as u8, proposer.life),
+            Some(m) => Round::joining(ballot, n, vec![(m as u8, proposer.life)]),
             None => Round::new(ballot, n),
         };
         proposer.round = Some(round.with(self.defect));
@@ -128,7 +128,7 @@
                         return Ok(());
                     };
                     looks.told[from] = Some((life, taken));
-                    let Some(value) = agreed(&looks.told) else { return Ok(()) };
+                    let Some((_, value)) = agreed(&looks.told) else { return Ok(()) };
                     let least = looks.least;
                     proposer.looks = None;
                     return match value.document.len() < least {
@@ -298,7 +298,7 @@
         let ask = late.ask();
         let promise = members[0].asked(ask.clone());
         members[0] = Keeper::blank(100).with(defect);
-        let mut joins = Round::joining(ballot(3, 0, 100), 3, 0, 100).with(defect);
+        let mut joins = Round::joining(ballot(3, 0, 100), 3, vec![(0, 100)]).with(defect);
         let Step::Agreed(joined) = finish(&mut joins, &mut members, &[1, 2], 1) else { panic!("joins") };
         members[0].join(ballot(3, 0, 100), joined);
         let mut other = Round::new(ballot(4, 4, 0), 3).with(defect);
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -449,7 +449,10 @@
                     *least = u;
                 }
             }
-            if let Some(value) = agreed(&all) {
+            if let Some((ballot, value)) = agreed(&all) {
+                if let Some(keeper) = self.keeper.borrow_mut().as_mut() {
+                    keeper.join(ballot, value.clone());
+                }
                 self.unclear.replace(std::mem::take(&mut unclear));
                 self.learn(&value.document);
                 return Some(value.document);
@@ -529,6 +532,8 @@
         let mut queue = self.queue.borrow_mut();
         // Nobody waits for these any more.
         queue.retain(|(_, tell)| !tell.is_closed());
+        // Operators' orders first: a halt does not wait for what it is to stop.
+        queue.sort_by_key(|(act, _)| !act.is_order());
         let most = queue.len().min(BATCH);
         queue.drain(..most).collect()
     }
@@ -557,7 +562,11 @@
         let until = Instant::now() + self.settings.within;
         let mut again = AGAIN_MS.0;
         loop {
-            let round = Round::new(self.ballot(), self.links.len());
+            let joins = acts.iter().filter_map(|act| match act {
+                Act::Join(member, life) => Some((*member, *life)),
+                _ => None,
+            });
+            let round = Round::joining(self.ballot(), self.links.len(), joins.collect());
             if let Some(results) = timeout_at(until.into(), self.round(round, acts)).await.ok()? {
                 return Some(results);
             }
@@ -596,10 +605,14 @@
         let every = Duration::from_nanos(self.settings.members.every);
         let member = self.settings.council.iter().position(|&p| p == self.settings.me).unwrap_or(0);
         while self.keeper.borrow().as_ref().is_some_and(|k| !k.joined()) {
-            let round = Round::joining(self.ballot(), self.links.len(), member as u8, self.life);
-            let joined = tokio::time::timeout(self.settings.within, self.round(round, &[Act::Look])).await;
-            if !matches!(joined, Ok(Some(_))) {
-                let _ = tokio::time::timeout(self.settings.within, self.found()).await;
+            // By whoever makes changes: a round of its own would be overtaken by them, again and again.
+            let joins = self.change(&Act::Join(member as u8, self.life)).await;
+            match joins {
+                Ok(_) => drop(tokio::time::timeout(self.settings.within, self.look()).await),
+                Err(_) => drop(tokio::time::timeout(self.settings.within, self.found()).await),
+            }
+            if self.keeper.borrow().as_ref().is_some_and(Keeper::joined) {
+                break;
             }
             let wait = self.rng.borrow_mut().u64(every.as_millis() as u64 / 2..=every.as_millis() as u64);
             sleep(Duration::from_millis(wait)).await;
--- a/router/tests/fleet_rig/mod.rs
+++ b/router/tests/fleet_rig/mod.rs
@@ -16,12 +16,15 @@
 
 /// What is awaited comes within this, or the test fails: far more than any of it takes.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// The same of a large fleet.
+const PATIENCE_LARGE: Duration = Duration::from_secs(180);
 const KEY: &str = "the key of this fleet of tests\n";
 
 fn free(ip: &str) -> SocketAddr {
     TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
 }
 
+const QUICK: &str = "beat 100ms\n silent 1500ms\n lease 1500ms\n answer 400ms\n within 4s";
 pub const ONE: &str = " out-most 1\n out-zone 1";
 pub const THREE: &str = " out-most 3\n out-zone 2";
 pub const CONFIG: &str = include_str!("../../../examples/config.json");
@@ -67,7 +70,7 @@
     pub agent: SocketAddr,
     pub at: SocketAddr,
     pub dir: PathBuf,
-    child: Mutex<Option<Child>>,
+    pub child: Mutex<Option<Child>>,
     /// How often it was started.
     pub starts: AtomicUsize,
     pub front: SocketAddr,
@@ -91,7 +94,7 @@
         let list = List::start(&format!("127.{net}.9.2"), &[row("n0", &node, 1)]);
         let config = if config == CONFIG { &self::config(&list) } else { config };
         let base = std::env::temp_dir().join(format!("tallypin-fleet-{test}-{}", std::process::id()));
-        let ip = |r: usize| format!("127.{net}.{}.1", r + 1);
+        let ip = |r: usize| format!("127.{net}.{}.{}", r % 250 + 1, r / 250 + 1);
         let routers: Vec<Router> = (0..routers)
             .map(|r| {
                 let (agent, at, front) = (free(&ip(r)), free(&ip(r)), free(&ip(r)));
@@ -101,8 +104,12 @@
                 Router { name: format!("r{r}"), agent, at, dir, child, starts, front }
             })
             .collect();
-        let relay =
-            |from: usize, to: usize| (from != to).then(|| Relay::start(&ip(from), routers[to].at).unwrap());
+        // Only members are called. Of a large fleet only members have relays: each takes threads.
+        let relayed =
+            |from: usize, to: usize| from != to && to < council && (from < council || routers.len() <= 20);
+        let relay = |from: usize, to: usize| {
+            relayed(from, to).then(|| Relay::start(&ip(from), routers[to].at).unwrap())
+        };
         let relays: Vec<Vec<_>> =
             (0..routers.len()).map(|from| (0..routers.len()).map(|to| relay(from, to)).collect()).collect();
         for (me, router) in routers.iter().enumerate() {
@@ -114,12 +121,13 @@
                 "log {{\n level warn\n target fleet debug\n}}\n\
                  checks {{\n agent {{\n listen {}\n}}\n}}\ncontrol {{\n socket {}\n}}\n\
                  drain {{\n least 1ms\n settle 1ms\n parting 1ms\n unknown-interval 1ms\n intervals 1\n}}\n\
-                 fleet {{\n name test\n me r{me}\n key {}\n beat 100ms\n silent 1500ms\n lease 1500ms\n\
-                 answer 400ms\n within 4s\n{bounds}\n\
+                 fleet {{\n name test\n me r{me}\n key {}\n {}\n{bounds}\n\
                  release settings {dir}/t.conf {dir}/store\n release configuration {dir}/config.json {dir}/store\n council",
                 router.agent,
                 router.dir.join("ctl").display(),
                 router.dir.join("key").display(),
+                // A small fleet at a pace of its own, a large one as it ships.
+                if routers.len() > 20 { "" } else { QUICK },
             );
             (0..council).for_each(|r| text += &format!(" r{r}"));
             for (r, other) in routers.iter().enumerate() {
@@ -173,6 +181,10 @@
         child.wait().unwrap();
     }
 
+    pub fn starts(&self, r: usize) -> usize {
+        self.routers[r].starts.load(Ordering::SeqCst)
+    }
+
     /// Starts again whoever has ended by itself.
     pub fn supervise(&self) {
         for r in 0..self.routers.len() {
@@ -213,6 +225,20 @@
         out
     }
 
+    /// How many do not serve, seen from outside: drained, starting, dead or stopped.
+    pub fn gone(&self) -> Vec<usize> {
+        let all: Vec<usize> = (0..self.routers.len()).collect();
+        std::thread::scope(|s| {
+            let parts = all.chunks(60).map(|part| {
+                s.spawn(move || {
+                    part.iter().copied().filter(|&r| self.out(r) != Some(false)).collect::<Vec<_>>()
+                })
+            });
+            let parts: Vec<_> = parts.collect();
+            parts.into_iter().flat_map(|part| part.join().unwrap()).collect()
+        })
+    }
+
     /// Waits until it is so; what is out by the way must never be more than `most`.
     pub fn until_within(&self, what: &str, most: usize, so: impl Fn() -> bool) {
         let begun = Instant::now();
@@ -222,7 +248,8 @@
             }
             let out = self.all_out();
             assert!(out.len() <= most, "{out:?} are out at once: {what}");
-            assert!(begun.elapsed() < PATIENCE, "not in time: {what}; {}", self.order(0, "status"));
+            let patience = if self.routers.len() > 20 { PATIENCE_LARGE } else { PATIENCE };
+            assert!(begun.elapsed() < patience, "not in time: {what}; {}", self.order(0, "status"));
         }
     }
 
@@ -251,7 +278,7 @@
     /// Links between two sides, both ways.
     pub fn between(&self, one: &[usize], other: &[usize], link: Link) {
         let pairs = one.iter().flat_map(|&a| other.iter().flat_map(move |&b| [(a, b), (b, a)]));
-        pairs.for_each(|(from, to)| self.relays[from][to].as_ref().unwrap().set(link));
+        pairs.filter_map(|(from, to)| self.relays[from][to].as_ref()).for_each(|relay| relay.set(link));
     }
 }
 
