--- a/router/src/fleet/link.rs
+++ b/router/src/fleet/link.rs
@@ -1,7 +1,7 @@
 //! Connections to the members of the council. One each, kept; a call at a time; each has a deadline. A member that accepts
 //! and says nothing costs its own calls their time and nobody else's.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,7 +27,7 @@
 
 impl Link {
     /// Starts the task that keeps it. It ends with this.
-    pub fn start(to: SocketAddr, keys: Keys, deadline: Duration) -> Link {
+    pub fn start(to: SocketAddr, keys: Rc<RefCell<Keys>>, deadline: Duration) -> Link {
         let (calls, waiting) = mpsc::channel(WAITING);
         let well = Rc::new(Cell::new(false));
         tokio::task::spawn_local(keep(to, keys, deadline, waiting, well.clone()));
@@ -49,7 +49,7 @@
 
 async fn keep(
     to: SocketAddr,
-    keys: Keys,
+    keys: Rc<RefCell<Keys>>,
     deadline: Duration,
     mut calls: mpsc::Receiver<Asked>,
     well: Rc<Cell<bool>>,
@@ -78,7 +78,12 @@
     }
 }
 
-async fn one(stream: &mut Option<TcpStream>, to: SocketAddr, keys: &Keys, call: &Call) -> io::Result<Reply> {
+async fn one(
+    stream: &mut Option<TcpStream>,
+    to: SocketAddr,
+    keys: &RefCell<Keys>,
+    call: &Call,
+) -> io::Result<Reply> {
     let stream = match stream {
         Some(open) => open,
         none => {
@@ -87,6 +92,9 @@
             none.insert(opened)
         }
     };
-    wire::write(stream, &keys.seal(Way::Call, call)?).await?;
-    keys.open(Way::Reply, &wire::read(stream).await?)
+    let bytes = keys.borrow().seal(Way::Call, call)?;
+    wire::write(stream, &bytes).await?;
+    let bytes = wire::read(stream).await?;
+    let opened = keys.borrow().open(Way::Reply, &bytes);
+    opened
 }
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -41,6 +41,8 @@
 const NAMED: usize = 8;
 /// A disk that has not answered for so long is taken to hang.
 const DISK: Duration = Duration::from_secs(10);
+/// The key file is read so often: a change of keys takes a few of these, and a file of two lines costs nothing.
+const KEYS: Duration = Duration::from_secs(2);
 
 /// What the fleet wants of the router that it is a part of.
 pub trait Duty {
@@ -78,7 +80,7 @@
 /// A router's part.
 pub struct Fleet {
     settings: FleetSettings,
-    keys: Keys,
+    keys: Rc<RefCell<Keys>>,
     duty: Box<dyn Duty>,
     start: Instant,
     life: u64,
@@ -130,6 +132,7 @@
         let text = std::fs::read_to_string(&settings.key).map_err(|e| of(&path, e))?;
         let keys = Keys::read(&settings.name, &text)
             .map_err(|why| of(&path, io::Error::new(io::ErrorKind::InvalidData, why)))?;
+        let keys = Rc::new(RefCell::new(keys));
         let at = settings.routers[usize::from(settings.me)].at;
         let listener = TcpListener::bind(at).await.map_err(|e| of(&at.to_string(), e))?;
         // A later start is a later life. A clock that was set back makes it an earlier one, which no member hears until
@@ -180,6 +183,7 @@
         tokio::task::spawn_local(fleet.clone().listen(listener));
         tokio::task::spawn_local(fleet.clone().beat());
         tokio::task::spawn_local(fleet.clone().follow());
+        tokio::task::spawn_local(fleet.clone().reread());
         if fleet.keeper.borrow().is_some() {
             tokio::task::spawn_local(fleet.clone().join());
             tokio::task::spawn_local(fleet.clone().conduct());
@@ -263,7 +267,7 @@
         let idle = Duration::from_nanos(self.settings.members.silent);
         loop {
             let bytes = tokio::time::timeout(idle, wire::read(&mut stream)).await??;
-            let call: Call = self.keys.open(Way::Call, &bytes)?;
+            let call: Call = self.keys.borrow().open(Way::Call, &bytes)?;
             let wrong = |why: &str| io::Error::new(io::ErrorKind::InvalidData, why);
             if call.v != wire::VERSION {
                 return Err(wrong("of a version that is not known"));
@@ -278,7 +282,8 @@
             let what = what.ok_or_else(|| wrong("of no router of the fleet, or sent again"))?;
             let (what, unclear) = what;
             let reply = Reply { v: wire::VERSION, number: call.number, what, unclear };
-            wire::write(&mut stream, &self.keys.seal(Way::Reply, &reply)?).await?;
+            let bytes = self.keys.borrow().seal(Way::Reply, &reply)?;
+            wire::write(&mut stream, &bytes).await?;
         }
     }
 
@@ -779,6 +784,35 @@
 
     // ---- Files, off the thread that serves ----
 
+    /// Reads the keys again and again, so that they can be changed without a restart. A file that can't be read, or holds
+    /// none, changes nothing.
+    async fn reread(self: Rc<Self>) {
+        let mut told = String::new();
+        loop {
+            sleep(KEYS).await;
+            let path = self.settings.key.clone();
+            let text = tokio::task::spawn_blocking(move || std::fs::read_to_string(path));
+            let read = match tokio::time::timeout(DISK, text).await {
+                Ok(Ok(Ok(text))) => Keys::read(&self.settings.name, &text),
+                Ok(Ok(Err(e))) => Err(e.to_string()),
+                Ok(Err(e)) => Err(e.to_string()),
+                Err(_) => Err("the disk does not answer".into()),
+            };
+            match read {
+                Ok(keys) if keys != *self.keys.borrow() => {
+                    tracing::info!(target: "fleet", ?keys, "goes by other keys now");
+                    self.keys.replace(keys);
+                    told.clear();
+                }
+                Err(why) if why != told => {
+                    tracing::warn!(target: "fleet", why, "the key file can't be used; goes on with the keys it has");
+                    told = why;
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Does something with the files of a kind. One that hangs is given up, and holds nothing up.
     async fn on_disk<T: Send + 'static>(
         &self,
--- a/router/src/fleet/wire.rs
+++ b/router/src/fleet/wire.rs
@@ -111,7 +111,7 @@
 }
 
 /// The keys of a fleet: the first signs, both are believed, so that a key can be changed router by router.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Keys {
     fleet: String,
     all: Vec<[u8; 32]>,
--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -497,3 +497,40 @@
     fleet.until("all run it", || phase(&fleet, 4) == "done");
     assert!((0..5).all(|r| there(&fleet, r) == digest));
 }
+
+/// Keys are changed at all routers in the middle of a release, without a restart; what is no key changes nothing; who signs
+/// with the old one alone is not heard any more.
+#[test]
+fn keys_change_in_the_middle_of_a_release() {
+    let node = Node::start("127.57.9.1");
+    let list = List::start("127.57.9.1", &[row("n0", &node, 1)]);
+    let fleet = released("keys", 57, &list);
+    // The first wave is watched until an operator ends the release: in the middle of it all the time.
+    let plan = " wave r3\n wave rest\n watch 60s\n ready 20s\n enough 0";
+    let (order, digest) = planned(&fleet, "configuration", reseeded, plan);
+    assert_eq!(fleet.order(2, &order)["code"], 0);
+    fleet.until_within("the first wave is back", 2, || {
+        there(&fleet, 3) == digest && fleet.stage(1, 3).is_empty()
+    });
+    let (old, new) = ("the key of this fleet of tests", "another key of this fleet, newer");
+    let write = |r: usize, text: &str| std::fs::write(fleet.routers[r].dir.join("key"), text).unwrap();
+    let lines = |r: usize, line: &str| fleet.log(r).matches(line).count();
+    for (step, text) in [format!("{old}\n{new}"), format!("{new}\n{old}"), new.to_string()].iter().enumerate()
+    {
+        (0..5).for_each(|r| write(r, text));
+        fleet.until("all go by it", || (0..5).all(|r| lines(r, "goes by other keys now") == step + 1));
+        assert_eq!(fleet.order(step, "status")["release"]["phase"], "running");
+    }
+    (0..5).for_each(|r| write(r, "short"));
+    fleet.until("all have read it", || (0..5).all(|r| lines(r, "the key file can't be used") == 1));
+    assert_eq!(fleet.order(0, "back")["code"], 0, "they go on with the keys they have");
+    // Before r3 starts anew: it would not by such a file.
+    (0..5).for_each(|r| write(r, new));
+    fleet.until_within("it is undone", 2, || phase(&fleet, 1) == "undone");
+    // One that comes with the old key alone is a stranger.
+    write(4, old);
+    fleet.kill(4);
+    fleet.start(4);
+    fleet.until("it is not heard", || fleet.order(0, "status")["out_here"] == serde_json::json!(["r4"]));
+    assert_eq!(fleet.order(4, "status")["code"], 1);
+}
