Begin on what the council has stored when all its members forget at once

Need: a council that restarted as one began with nothing: who is out by order, and a release half done, were lost.

Change: where the settings name a file (store), a member writes what is agreed on and tells of it while it is blank; the newest is begun on, halted (router/src/fleet/stored.rs, Keeper::storing). Promises are not stored, so no disk can lie one back.

--- a/accord/src/register.rs
+++ b/accord/src/register.rs
@@ -86,9 +86,16 @@
     Blank {
         /// Its life.
         life: u64,
+        /// What it had stored of what was agreed on, in an earlier life: perhaps old, and never counted.
+        #[serde(default = "none", skip_serializing_if = "Option::is_none")]
+        stored: Option<D>,
     },
 }
 
+fn none<D>() -> Option<D> {
+    None
+}
+
 /// Deliberate mistakes, one at a time. The tests have to find each.
 #[cfg(feature = "defects")]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -131,13 +138,19 @@
     joined: bool,
     promised: Ballot,
     taken: Option<(Ballot, Value<D>)>,
+    stored: Option<D>,
     defect: Option<Defect>,
 }
 
 impl<D: Clone + PartialEq> Keeper<D> {
     /// A member that has just started and knows nothing.
     pub fn blank(life: u64) -> Keeper<D> {
-        Keeper { life, joined: false, promised: Ballot::default(), taken: None, defect: None }
+        Keeper { life, joined: false, promised: Ballot::default(), taken: None, stored: None, defect: None }
+    }
+
+    /// The same, with what it finds stored: it tells of it while it is blank.
+    pub fn storing(self, stored: Option<D>) -> Keeper<D> {
+        Keeper { stored, ..self }
     }
 
     /// The same with a mistake.
@@ -174,10 +187,10 @@
             // It promises as well, though that counts for nothing but `Found`.
             Ask::Prepare(ballot) if !self.joined && ballot >= self.promised => {
                 self.promised = ballot;
-                Answer::Blank { life: self.life }
+                Answer::Blank { life: self.life, stored: self.stored.clone() }
             }
             Ask::Prepare(_) if !self.joined => Answer::Newer(self.promised),
-            _ if !self.joined => Answer::Blank { life: self.life },
+            _ if !self.joined => Answer::Blank { life: self.life, stored: None },
             Ask::Look => Answer::Has { life: self.life, taken: self.taken.clone() },
             Ask::Prepare(ballot) => {
                 if ballot < self.promised {
--- a/accord/tests/fleet.rs
+++ b/accord/tests/fleet.rs
@@ -87,6 +87,9 @@
     calm: bool,
     /// A halt that was agreed on: where, when, and since when it holds; nothing may begin before a resume.
     halt: Option<(usize, Nanos, bool)>,
+    /// Resumes that were ordered, and the orders that were known when the halt was agreed on.
+    resumes: BTreeSet<String>,
+    before: Vec<String>,
     /// When a resume was last on its way.
     resumed: Nanos,
     orders: u64,
@@ -145,6 +148,8 @@
             lost: 5,
             calm: false,
             halt: None,
+            resumes: BTreeSet::new(),
+            before: Vec::new(),
             resumed: 0,
             orders: 0,
             went: 0,
@@ -214,11 +219,18 @@
             self.look(r);
         }
         let Some(known) = self.routers[r].known.clone() else { return };
-        let mut newer = self.routers.iter().take(COUNCIL).filter_map(|m| m.keeper.as_ref()?.taken());
-        let newer = newer.any(|v| v.document.version > known.version);
+        let newer = |world: &World, version: u64| {
+            let mut told = world.routers.iter().take(COUNCIL).filter_map(|m| m.keeper.as_ref()?.taken());
+            told.any(|v| v.document.version > version)
+        };
         // As heard with its beats, if it was: then it looks before it does anything by an older document.
-        if newer && self.rng.bool() {
+        if newer(self, known.version) && self.rng.bool() {
             self.look(r);
+            let known = self.routers[r].known.as_ref().map_or(0, |d| d.version);
+            // Members that have not all taken the same tell nothing alike until a round ends it.
+            if newer(self, known) && self.rng.u32(..8) == 0 {
+                return self.begin(r, Act::Look);
+            }
         }
         let Some(known) = self.routers[r].known.clone() else { return };
         let router = &self.routers[r];
@@ -304,6 +316,8 @@
                 router.orders.remove(0);
                 if matches!(act, Act::Halt { .. }) {
                     self.halt = Some((r, at, false));
+                    let known = self.routers[r].known.as_ref();
+                    self.before = known.map_or(vec![], |d| d.orders.iter().cloned().collect());
                 }
             } else if self.rng.bool() {
                 self.routers[r].orders.remove(0);
@@ -347,6 +361,11 @@
             },
             Step::Agreed(value) => {
                 let ballot = round.ballot();
+                // A resume from before that was agreed on after it ends a halt as well.
+                let orders = &value.document.orders;
+                if orders.iter().any(|o| self.resumes.contains(o) && !self.before.contains(o)) {
+                    self.halt = None;
+                }
                 if router.known.as_ref().is_none_or(|k| k.version < value.document.version) {
                     router.known = Some(value.document.clone());
                 }
@@ -439,8 +458,9 @@
             4 => Act::Drain { order, routers: some() },
             _ => Act::Resume { order },
         };
-        if matches!(act, Act::Resume { .. }) {
+        if let Act::Resume { order } = &act {
             self.halt = None;
+            self.resumes.insert(order.clone());
         }
         if self.routers[r].alive {
             self.routers[r].orders.push(act);
@@ -541,7 +561,13 @@
     for seed in seeds {
         let mut world = World::new(seed, routers);
         world.play(60 * S);
-        settled += usize::from(world.settle());
+        let same = world.settle();
+        if !same {
+            let remember =
+                world.routers.iter().filter(|r| r.keeper.as_ref().is_some_and(Keeper::joined)).count();
+            println!("seed {seed}: not one document; {remember} of {COUNCIL} members take part");
+        }
+        settled += usize::from(same);
         went += world.went;
         swapped += world.swapped;
         done += world.done;
--- a/router/src/fleet/files.rs
+++ b/router/src/fleet/files.rs
@@ -50,7 +50,8 @@
     io::Error::new(io::ErrorKind::InvalidData, why)
 }
 
-fn read(path: &Path) -> io::Result<Vec<u8>> {
+/// A file's bytes, if they are not too many.
+pub fn read(path: &Path) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     let file = File::open(path).map_err(|e| said(path, e))?;
     file.take(LONGEST + 1).read_to_end(&mut bytes).map_err(|e| said(path, e))?;
@@ -61,7 +62,7 @@
 }
 
 /// Writes a file whole, or not at all, as far as the disk tells the truth.
-fn write(path: &Path, bytes: &[u8]) -> io::Result<()> {
+pub fn write(path: &Path, bytes: &[u8]) -> io::Result<()> {
     let new = beside(path, "new");
     let mut file = File::create(&new).map_err(|e| said(&new, e))?;
     file.write_all(bytes).and_then(|()| file.sync_all()).map_err(|e| said(&new, e))?;
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod orders;
 pub mod plan;
 pub mod settings;
+mod stored;
 pub mod wire;
 
 use std::cell::{Cell, RefCell};
@@ -41,6 +42,8 @@
 const NAMED: usize = 8;
 /// A disk that has not answered for so long is taken to hang.
 const DISK: Duration = Duration::from_secs(10);
+/// What is agreed on is stored so often, if it has changed.
+const STORE: Duration = Duration::from_millis(200);
 /// The key file is read so often: a change of keys takes a few of these, and a file of two lines costs nothing.
 const KEYS: Duration = Duration::from_secs(2);
 
@@ -149,6 +152,11 @@
             settings.council.iter().map(link).collect()
         };
         let (links, ways) = (links(settings.answer), links(settings.within / 2));
+        let path = settings.store.clone().filter(|_| settings.council.contains(&settings.me));
+        let stored = match &path {
+            Some(path) => stored_there(path.clone(), settings.name.clone()).await,
+            None => None,
+        };
         let runs = settings.released.iter().map(|r| Ok((r.what.clone(), r.runs()?)));
         let runs = runs.collect::<io::Result<_>>().map_err(|e| of("release", e))?;
         let fleet = Rc::new(Fleet {
@@ -156,7 +164,7 @@
             ways,
             queue: RefCell::default(),
             queueing: Notify::new(),
-            keeper: RefCell::new(member(&settings.me).map(|_| Keeper::blank(life))),
+            keeper: RefCell::new(member(&settings.me).map(|_| Keeper::blank(life).storing(stored))),
             presence: RefCell::new(Presence::new(settings.members, settings.routers.len(), 0)),
             heard: RefCell::new(vec![[(0, 0); 2]; settings.routers.len()]),
             leaver: RefCell::new(Leaver::new(settings.leave, settings.me, life)),
@@ -184,6 +192,9 @@
         tokio::task::spawn_local(fleet.clone().beat());
         tokio::task::spawn_local(fleet.clone().follow());
         tokio::task::spawn_local(fleet.clone().reread());
+        if let Some(path) = path {
+            tokio::task::spawn_local(fleet.clone().store(path));
+        }
         if fleet.keeper.borrow().is_some() {
             tokio::task::spawn_local(fleet.clone().join());
             tokio::task::spawn_local(fleet.clone().conduct());
@@ -629,11 +640,15 @@
     /// one fails, as what it asked is no longer the last that all have heard.
     async fn found(self: &Rc<Self>) {
         let mut members = vec![None; self.links.len()];
+        let mut documents: Vec<Document> = Vec::new();
         let ballot = self.ballot();
         let mut told = self.ask_all(&Ask::Prepare(ballot));
         while let Some((member, _, answer)) = told.recv().await {
             members[usize::from(member)] = match answer {
-                Some((Answer::Blank { life }, ..)) => Some((life, None)),
+                Some((Answer::Blank { life, stored }, ..)) => {
+                    documents.extend(stored);
+                    Some((life, None))
+                }
                 Some((Answer::Promised { life, taken }, ..)) => Some((life, taken)),
                 Some((Answer::Newer(seen), ..)) => {
                     self.seen.set(self.seen.get().max(seen));
@@ -642,7 +657,10 @@
                 _ => None,
             };
         }
-        let Some(value) = first(&members, Document::first) else { return };
+        let newest = |held: Option<&Document>| {
+            Document::first(held.into_iter().chain(&documents).max_by_key(|d| d.version))
+        };
+        let Some(value) = first(&members, newest) else { return };
         let document = value.document.clone();
         let mut told = self.ask_all(&Ask::Found(ballot, value));
         let mut taken = 0;
@@ -784,6 +802,29 @@
 
     // ---- Files, off the thread that serves ----
 
+    /// Stores what is agreed on, again and again. A disk that hangs or fails is told of once, and holds nothing up.
+    async fn store(self: Rc<Self>, path: std::path::PathBuf) {
+        let (mut last, mut told) = (None, false);
+        loop {
+            sleep(STORE).await;
+            let Some(document) = self.document.borrow().clone().filter(|d| Some(d.version) != last) else {
+                continue;
+            };
+            let (path, name, version) = (path.clone(), self.settings.name.clone(), document.version);
+            let write = tokio::task::spawn_blocking(move || stored::write(&path, &name, &document));
+            match tokio::time::timeout(DISK, write).await {
+                Ok(Ok(Ok(()))) => (last, told) = (Some(version), false),
+                other => {
+                    if !told {
+                        let why = format!("{other:?}");
+                        tracing::warn!(target: "fleet", why, "what is agreed on can't be stored");
+                    }
+                    told = true;
+                }
+            }
+        }
+    }
+
     /// Reads the keys again and again, so that they can be changed without a restart. A file that can't be read, or holds
     /// none, changes nothing.
     async fn reread(self: Rc<Self>) {
@@ -862,6 +903,19 @@
     }
 }
 
+/// What is found stored at the start; what can't be used is told, and is none.
+async fn stored_there(path: std::path::PathBuf, name: String) -> Option<Document> {
+    let read = tokio::task::spawn_blocking(move || stored::read(&path, &name));
+    let why = match tokio::time::timeout(DISK, read).await {
+        Ok(Ok(Ok(document))) => return document,
+        Ok(Ok(Err(why))) => why,
+        Ok(Err(e)) => e.to_string(),
+        Err(_) => "the disk does not answer".into(),
+    };
+    tracing::warn!(target: "fleet", why, "what is stored of the fleet can't be used");
+    None
+}
+
 /// What became of a change: the document with it, or why it was not made.
 type Changed = Result<Document, No>;
 
--- a/router/src/fleet/settings.rs
+++ b/router/src/fleet/settings.rs
@@ -55,6 +55,11 @@
             "a file that a release may change: where it is found, and the store with one for each digest",
         )
         .many(),
+        Directive::optional(
+            "store",
+            &[Kind::Path],
+            "where a member of the council stores what is agreed on, on a disk that lasts",
+        ),
         Directive::with("beat", &[Kind::Duration(50, MINUTE)], &["500ms"], "a router is heard so often"),
         Directive::with("silent", &[Kind::Duration(100, MINUTE)], &["3s"], "not heard for so long it is out"),
         Directive::with(
@@ -100,6 +105,8 @@
     pub council: Vec<Place>,
     /// How many may be out.
     pub bounds: Bounds,
+    /// Where a member of the council stores what is agreed on.
+    pub store: Option<PathBuf>,
     /// What a release may change.
     pub released: Vec<Released>,
     /// Beats, and when silence is believed.
@@ -190,6 +197,7 @@
                 council: council.clone(),
                 nodes,
             },
+            store: s.path("store").map(PathBuf::from),
             released,
             routers,
             council,
--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -145,6 +145,8 @@
     });
     assert_eq!(fleet.order(1, "status")["halted"], Value::Null);
     (0..3).for_each(|r| fleet.kill(r));
+    // Nor do their disks remember: as where `store` names none.
+    (0..3).for_each(|r| std::fs::remove_file(fleet.routers[r].dir.join("stored")).unwrap_or_default());
     (0..3).for_each(|r| fleet.start(r));
     fleet.until("they begin anew", || fleet.order(0, "status")["code"] == 0);
     assert_eq!(fleet.order(1, "status")["halted"], "the council's memory begins anew");
@@ -449,8 +451,11 @@
     let whole = std::fs::read(&stored).unwrap();
     let damage: [(&str, &dyn Fn()); 3] = [
         ("torn", &|| std::fs::write(&stored, &whole[..whole.len() / 2]).unwrap()),
+        // Still a configuration, though not the one that was agreed on.
         ("flipped", &|| {
-            std::fs::write(&stored, [&whole[..9], &[whole[9] ^ 1], &whole[10..]].concat()).unwrap()
+            let text =
+                String::from_utf8(whole.clone()).unwrap().replace("8c1f30d27a5be965", "8c1f30d27a5be967");
+            std::fs::write(&stored, text).unwrap();
         }),
         ("lost", &|| std::fs::remove_file(&stored).unwrap()),
     ];
@@ -534,3 +539,52 @@
     fleet.until("it is not heard", || fleet.order(0, "status")["out_here"] == serde_json::json!(["r4"]));
     assert_eq!(fleet.order(4, "status")["code"], 1);
 }
+
+/// All members are killed in the middle of a release. Of what they had stored one disk has lost all, one has an older file
+/// back, one tells the truth: they begin on the newest, halted, and go on. With all three spoilt they begin with nothing.
+#[test]
+fn a_council_that_forgets_as_one_begins_on_what_it_has_stored() {
+    let node = Node::start("127.58.9.1");
+    let list = List::start("127.58.9.1", &[row("n0", &node, 1)]);
+    let fleet = released("stored", 58, &list);
+    let stored = |r: usize| fleet.routers[r].dir.join("stored");
+    fleet.until("something is stored", || stored(1).exists());
+    let older = std::fs::read(stored(1)).unwrap();
+    let plan = " wave r3\n wave rest\n watch 60s\n ready 20s\n enough 0";
+    let (order, digest) = planned(&fleet, "configuration", reseeded, plan);
+    assert_eq!(fleet.order(2, &order)["code"], 0);
+    fleet.until_within("the first wave is back", 2, || {
+        there(&fleet, 3) == digest && fleet.stage(1, 3).is_empty()
+    });
+    let version = |r: usize| {
+        let bytes = std::fs::read(stored(r)).unwrap_or_default();
+        let body = bytes.iter().position(|b| *b == b'\n').map_or(&[][..], |at| &bytes[at + 1..]);
+        serde_json::from_slice::<Value>(body).unwrap_or_default()["document"]["version"].clone()
+    };
+    fleet.until("all have stored it", || (0..3).all(|r| version(r) == fleet.order(r, "status")["version"]));
+    let again = |spoil: &dyn Fn()| {
+        (0..3).for_each(|r| fleet.kill(r));
+        spoil();
+        (0..3).for_each(|r| fleet.start(r));
+    };
+    again(&|| {
+        std::fs::remove_file(stored(0)).unwrap();
+        std::fs::write(stored(1), &older).unwrap();
+    });
+    let lost = "most of the council's memory was lost, what was agreed on last may be";
+    fleet.until("they begin on the newest", || fleet.order(1, "status")["halted"] == lost);
+    assert_eq!(fleet.order(0, "status")["release"]["digest"], digest.as_str());
+    assert_eq!(fleet.order(0, "back")["code"], 0);
+    assert_eq!(fleet.order(0, "resume")["code"], 0);
+    fleet.until_within("it is undone", 3, || phase(&fleet, 1) == "undone");
+    again(&|| {
+        std::fs::write(stored(0), "").unwrap();
+        std::fs::write(stored(1), "not that").unwrap();
+        let whole = std::fs::read(stored(2)).unwrap();
+        std::fs::write(stored(2), &whole[..whole.len() - 1]).unwrap();
+    });
+    fleet.until("they begin with nothing", || {
+        fleet.order(1, "status")["halted"] == "the council's memory begins anew"
+    });
+    assert_eq!(fleet.order(2, "status")["release"], Value::Null);
+}
--- a/router/tests/fleet_rig/mod.rs
+++ b/router/tests/fleet_rig/mod.rs
@@ -122,7 +122,7 @@
                  checks {{\n agent {{\n listen {}\n}}\n}}\ncontrol {{\n socket {}\n}}\n\
                  drain {{\n least 1ms\n settle 1ms\n parting 1ms\n unknown-interval 1ms\n intervals 1\n}}\n\
                  fleet {{\n name test\n me r{me}\n key {}\n {}\n{bounds}\n\
-                 release settings {dir}/t.conf {dir}/store\n release configuration {dir}/config.json {dir}/store\n council",
+                 store {dir}/stored\n release settings {dir}/t.conf {dir}/store\n release configuration {dir}/config.json {dir}/store\n council",
                 router.agent,
                 router.dir.join("ctl").display(),
                 router.dir.join("key").display(),
