Test a failure at the bound and a release slow only under load; measure what agreement costs

Need: two of the fleet's hard cases had no test of processes, and its cost on a request's way was not known.

Change: tests only, and docs: a failure on top of planned outs brings nobody back and lets nobody go; a release whose answers come late under load is halted after the first router; fleet_full.rs plays requests by turns through a member, a router that is none, and one without section fleet.

--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -52,6 +52,30 @@
     assert_eq!(fleet.out(3), Some(false));
 }
 
+/// Failures on top of planned outs that fill the bound: nobody is brought back by force, and nobody goes until there is
+/// room for one more than both.
+#[test]
+fn a_failure_at_the_bound_brings_nobody_back_and_lets_nobody_go() {
+    let fleet = Fleet::begun("above", 61, 6, 3, " out-most 2\n out-zone 2");
+    assert_eq!(fleet.order(0, "drain r3 r4")["code"], 0);
+    fleet.until_within("both are out", 2, || fleet.all_out() == [3, 4]);
+    fleet.kill(5);
+    let known = |out: Value| fleet.order(0, "status")["out_here"] == out;
+    fleet.until("three are known to be out", || known(serde_json::json!(["r3", "r4", "r5"])));
+    assert_eq!(fleet.order(1, "drain r2")["code"], 0);
+    fleet.until_within("r2 asks, and is refused again", 2, || fleet.refused(2) >= 2);
+    assert_eq!(fleet.all_out(), [3, 4], "they stay as ordered");
+    assert_eq!(fleet.order(2, "put-back r3")["code"], 0);
+    let so_far = fleet.refused(2);
+    fleet.until_within("r3 is back, and there is no room yet", 2, || {
+        fleet.out(3) == Some(false) && fleet.stage(0, 3).is_empty() && fleet.refused(2) >= so_far + 2
+    });
+    assert_eq!(fleet.out(2), Some(false));
+    fleet.start(5);
+    fleet.until_within("r5 is back, and r2 goes", 2, || fleet.out(2) == Some(true));
+    assert_eq!(fleet.out(5), Some(false));
+}
+
 /// A halt that was answered outlives the router that answered it, and a router that was stopped meanwhile.
 #[test]
 fn a_halt_that_was_answered_holds_whoever_is_killed_or_stopped() {
@@ -396,19 +420,30 @@
 /// A release that starts and answers 500: seen by its answers against those of the others, and halted.
 #[test]
 fn what_answers_badly_is_halted_after_the_first_router() {
-    let (good, bad) = (Node::start("127.54.9.1"), Node::start("127.54.9.1"));
-    bad.does(Does::Fails);
-    let (list, wrong) = ("127.54.9.1", "127.54.9.1");
-    let list = List::start(list, &[row("n0", &good, 1)]);
-    let wrong = List::start(wrong, &[row("n0", &bad, 1)]);
-    let fleet = released("bad", 54, &list);
+    halted_by_its_answers("bad", 54, Does::Fails);
+}
+
+/// One that is slow only once there is load, and well at the checks.
+#[test]
+fn what_is_slow_only_under_load_is_halted_after_the_first_router() {
+    halted_by_its_answers("slow", 59, Does::Waits(Duration::from_millis(2500)));
+}
+
+fn halted_by_its_answers(test: &str, net: u8, does: Does) {
+    let ip = format!("127.{net}.9.1");
+    let (good, bad) = (Node::start(&ip), Node::start(&ip));
+    bad.does(does);
+    let list = List::start(&ip, &[row("n0", &good, 1)]);
+    let wrong = List::start(&ip, &[row("n0", &bad, 1)]);
+    let fleet = released(test, net, &list);
     let elsewhere = |_: usize, text: &str| text.replace(&list.at.to_string(), &wrong.at.to_string());
     let plan = " wave r3\n wave rest\n watch 300ms\n ready 20s\n enough 20";
     let (order, digest) = planned(&fleet, "configuration", elsewhere, plan);
     assert_eq!(fleet.order(2, &order)["code"], 0);
     let over = std::sync::atomic::AtomicBool::new(false);
     std::thread::scope(|s| {
-        for r in 0..5 {
+        // Most of them where it is released: what is slow answers seldom.
+        for r in (0..5).chain([3; 10]) {
             let (fleet, over) = (&fleet, &over);
             s.spawn(move || {
                 while !over.load(std::sync::atomic::Ordering::SeqCst) {
--- a/router/tests/fleet_full.rs
+++ b/router/tests/fleet_full.rs
@@ -180,3 +180,48 @@
         (0..n).all(|r| std::fs::read_to_string(fleet.routers[r].dir.join("config.json")).unwrap() == text)
     );
 }
+
+/// What agreement costs a request: by turns through a member of the council, a router that is none, and one whose settings
+/// have no section `fleet`, each alone with a client that sends one after the other.
+#[test]
+#[ignore = "full size: minutes, hundreds of processes"]
+fn what_agreement_costs_a_request() {
+    let n = number("FLEET", 300);
+    let node = Node::start("127.60.9.3");
+    let list = List::start("127.60.9.3", &[row("n0", &node, 1)]);
+    let config = config(&list).replace("\"sockets\": 1024", "\"sockets\": 4096");
+    let fleet =
+        Fleet::with("cost", 60, n, COUNCIL, &format!(" out-most {}\n out-zone 1", (n / 10).max(1)), &config);
+    let without = n - 1;
+    let path = fleet.routers[without].dir.join("t.conf");
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, &text[..text.find("fleet {\n").unwrap()]).unwrap();
+    fleet.kill(without);
+    fleet.start(without);
+    fleet.until("it serves", || answer(send(fleet.routers[without].front)) == (200, true));
+    let kinds = [("member", 0), ("router", n - 2), ("without", without)];
+    let mut all: [Vec<u64>; 3] = Default::default();
+    for round in 0..number("ROUNDS", 20) {
+        for k in 0..3 {
+            // Another one begins each time.
+            let k = (k + round) % 3;
+            let front = fleet.routers[kinds[k].1].front;
+            for _ in 0..200 {
+                let at = Instant::now();
+                assert_eq!(answer(send(front)), (200, true));
+                all[k].push(at.elapsed().as_micros() as u64);
+            }
+        }
+    }
+    for ((kind, _), mut times) in kinds.into_iter().zip(all) {
+        times.sort_unstable();
+        let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+        println!(
+            "{kind}, of {n}: {} requests, median {} us, 99% {} us, most {} us",
+            times.len(),
+            at(0.5),
+            at(0.99),
+            at(1.0)
+        );
+    }
+}
