Check the register deep enough for two changes and for five deliberate mistakes

Need: two changes take 17 steps, the model had been played to 16; a doubled answer that counts was not found at 14.

--- a/accord/tests/model.rs
+++ b/accord/tests/model.rs
@@ -226,8 +226,8 @@
     holds(&[(0, 20), (1, 14)]);
     finds(&[
         (Defect::CountsTwice, 0, 16),
-        (Defect::ForgetsPromise, 0, 18),
-        (Defect::TakesOlder, 0, 18),
-        (Defect::FirstHeard, 0, 18),
+        (Defect::ForgetsPromise, 0, 20),
+        (Defect::TakesOlder, 0, 20),
+        (Defect::FirstHeard, 0, 20),
     ]);
 }
