--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod installation;
 pub mod limits;
+pub mod list_clock;
 pub mod log;
 pub mod names;
 pub mod node;
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -71,6 +71,10 @@
     pub list_answer: Duration,
     /// And after a failure there it is asked again so soon.
     pub list_again: Duration,
+    /// An agent that has lists pushed to it answers at once: one that has not within this is silent.
+    pub agent_answer: Duration,
+    /// And is asked again so soon, as what it gets when it hears again counts as told at that moment.
+    pub agent_again: Duration,
     /// Clients still come for so long after the order to stop.
     pub grace: Duration,
     /// And are served on the connections they have for so long if there is no other router to go to.
@@ -135,6 +139,8 @@
             list_silence: Duration::from_secs(4),
             list_answer: Duration::from_millis(2500),
             list_again: Duration::from_millis(150),
+            agent_answer: Duration::from_millis(250),
+            agent_again: Duration::from_millis(200),
             grace: Duration::from_millis(500),
             grace_alone: kill / 2,
             peer_heard: Duration::from_secs(2),
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
-use tallypin::api::{ListKind, Nanos, ReplicaRow, ReplicaState, ZoneId};
+use tallypin::api::{ListKind, ListMode, Nanos, ReplicaRow, ReplicaState, ZoneId};
 use tallypin::names;
 use tallypin::settings::Deployment;
 use tokio::net::TcpStream;
@@ -18,6 +18,7 @@
 
 use crate::host::Host;
 use crate::http::{Body, Framing, Head, Part, Start, Wire};
+use crate::list_clock::{ListClock, Step, Terms};
 
 /// One object of the list: the whole of it, or what changed.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -98,85 +99,145 @@
 type Watching = Pin<Box<dyn Future<Output = String>>>;
 
 /// What goes with one place of the list: its versions may be its own.
-#[derive(Clone, Default)]
 struct Place {
-    version: Rc<Cell<Option<u64>>>,
+    at: SocketAddr,
+    version: Cell<Option<u64>>,
     /// Told when it has said something of the list.
-    answered: Rc<Notify>,
+    answered: Notify,
+    /// Told when a call has been answered: from then on the watch is held to other times.
+    stands: Notify,
+    clock: ListClock,
+}
+
+/// A place and the watch on it, if there is one.
+struct Follow {
+    place: Rc<Place>,
+    watching: Option<Watching>,
+}
+
+impl Follow {
+    fn new(at: SocketAddr, terms: Terms) -> Follow {
+        let place = Place {
+            at,
+            version: Cell::new(None),
+            answered: Notify::new(),
+            stands: Notify::new(),
+            clock: ListClock::new(terms),
+        };
+        Follow { place: Rc::new(place), watching: None }
+    }
+
+    /// Follows the list until the watch is lost; says why. Dropped and called again, it goes on.
+    async fn run(&mut self, host: &Rc<Host>) -> String {
+        let lost = loop {
+            match self.place.clock.step(host.clock.now()) {
+                Step::Open => {
+                    self.place.clock.opened(host.clock.now());
+                    self.watching = Some(Box::pin(watch(host.clone(), self.place.clone())));
+                }
+                Step::Broken => break "silent for too long".into(),
+                Step::Wait(until) => tokio::select! {
+                    biased;
+                    why = running(&mut self.watching) => break why,
+                    () = self.place.stands.notified() => {}
+                    // What is heard meanwhile puts the time off: looked at again then.
+                    () = asleep(host, until) => {}
+                },
+            }
+        };
+        self.watching = None;
+        self.place.clock.lost(host.clock.now());
+        lost
+    }
+}
+
+async fn running(watching: &mut Option<Watching>) -> String {
+    match watching {
+        Some(watching) => watching.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn asleep(host: &Host, until: Option<Nanos>) {
+    match until {
+        Some(at) => tokio::time::sleep_until(host.clock.instant(at).into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn run(follow: &mut Option<Follow>, host: &Rc<Host>) -> String {
+    match follow {
+        Some(follow) => follow.run(host).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn answered(place: &Option<Rc<Place>>) {
+    match place {
+        Some(place) => place.answered.notified().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Watches the list whenever the module asks for it, and goes where the configuration says that it is. The
 /// old place is left only when the new one has told the whole list: until then its news goes on counting,
-/// and what is held goes on being used. Ends never.
+/// and what is held goes on being used. Where lists are pushed, a watch on the agent costs nobody anything and
+/// what the agent holds counts as told: there is one from the start, whatever the module asks. Ends never.
 pub async fn keep(host: Rc<Host>) {
+    let limits = &host.limits;
+    let pushed = host.deployment.decisions.list == ListMode::Pushed;
+    let asked = Terms { answer: None, silence: limits.list_silence, again: None };
+    let agent = Terms { answer: Some(limits.agent_answer), again: Some(limits.agent_again), ..asked };
+    let moving = Terms { answer: Some(limits.list_answer), again: Some(limits.list_again), ..asked };
+    let (terms, moving) = if pushed { (agent, agent) } else { (asked, moving) };
     let mut named = host.list_at.subscribe();
-    let mut at = *named.borrow_and_update();
-    let (mut place, mut next_place) = (Place::default(), Place::default());
-    let (mut current, mut next): (Option<Watching>, Option<Watching>) = (None, None);
+    let mut current = Some(Follow::new(*named.borrow_and_update(), terms));
+    let mut next: Option<Follow> = None;
+    if pushed {
+        current.iter().for_each(|c| c.place.clock.wanted(host.clock.now()));
+    }
     loop {
+        let next_place = next.as_ref().map(|n| n.place.clone());
         tokio::select! {
             biased;
             moved = named.changed() => {
                 // It fails only when the sender is gone, and the host holds that.
                 if moved.is_err() { return };
-                at = *named.borrow_and_update();
-                next_place = Place::default();
-                next = Some(Box::pin(move_to(host.clone(), at, next_place.clone(), false)));
+                // Asked at once, as the old place may end soon, and again soon if it fails: whoever never answers
+                // is not waited for.
+                let follow = Follow::new(*named.borrow_and_update(), moving);
+                follow.place.clock.wanted(host.clock.now());
+                next = Some(follow);
             }
-            () = next_place.answered.notified(), if next.is_some() => {
-                tracing::info!(target: "node_list", %at, "node list: now from the new place");
-                (current, place) = (next.take(), next_place.clone());
+            () = answered(&next_place) => {
+                current = next.take();
+                if let Some(Follow { place, .. }) = &current {
+                    tracing::info!(target: "node_list", at = %place.at, "node list: now from the new place");
+                    place.clock.hold_to(terms);
+                }
             }
-            why = running(&mut next), if next.is_some() => {
-                tracing::warn!(target: "node_list", %at, why, "node list: asked again");
-                next = Some(Box::pin(move_to(host.clone(), at, next_place.clone(), true)));
+            why = run(&mut next, &host) => {
+                tracing::warn!(target: "node_list", at = ?next.as_ref().map(|n| n.place.at), why, "node list: asked again");
             }
             // A further wish means that the last one has not been answered in good time.
             () = host.list_wanted.notified() => {
-                if next.is_none() {
-                    current = Some(Box::pin(watch(host.clone(), at, place.clone())));
+                if let (None, Some(Follow { place, .. })) = (&next, &current) {
+                    place.clock.wanted(host.clock.now());
                 }
             }
-            why = running(&mut current), if current.is_some() => {
-                current = None;
-                tracing::warn!(target: "node_list", %at, why, "node list: watch lost");
+            why = run(&mut current, &host) => {
+                tracing::warn!(target: "node_list", at = ?current.as_ref().map(|c| c.place.at), why, "node list: watch lost");
                 host.with(|core, now| core.list(now, ListKind::Failed, Vec::new()));
             }
         }
     }
 }
 
-async fn running(watching: &mut Option<Watching>) -> String {
-    match watching {
-        Some(watching) => watching.await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Follows the list at a new place; it is asked at once, as the old place may end soon, and again soon if it
-/// fails. Whoever never answers is not waited for.
-async fn move_to(host: Rc<Host>, at: SocketAddr, place: Place, again: bool) -> String {
-    if again {
-        tokio::time::sleep(host.limits.list_again).await;
-    }
-    let mut watching = std::pin::pin!(watch(host.clone(), at, place.clone()));
-    let early = async {
-        tokio::time::sleep(host.limits.list_answer).await;
-        while place.version.get().is_some() {
-            std::future::pending::<()>().await;
-        }
-    };
-    tokio::select! {
-        why = &mut watching => why,
-        () = early => "no answer in time".into(),
-    }
-}
-
 /// Follows the list until the watch is lost; says why.
-async fn watch(host: Rc<Host>, at: SocketAddr, place: Place) -> String {
+async fn watch(host: Rc<Host>, place: Rc<Place>) -> String {
     let host = &host;
     let limits = &host.limits;
-    let stream = match timeout(limits.list_silence, TcpStream::connect(at)).await {
+    let stream = match timeout(limits.list_silence, TcpStream::connect(place.at)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return e.to_string(),
         Err(_) => return "not connected in time".into(),
@@ -190,7 +251,7 @@
     let head = loop {
         match Head::answer(&mut wire.buf, limits) {
             Ok(Some(head)) => break head,
-            // The module asks again when this takes too long.
+            // The clock breaks it off, or the module asks again, when this takes too long.
             Ok(None) => match wire.more().await {
                 Ok(true) => {}
                 Ok(false) => return "ended before its answer".into(),
@@ -203,37 +264,56 @@
         (Start::Status(200), Ok(framing)) if framing != Framing::Length(0) => framing,
         (start, _) => return format!("answered {start:?}"),
     };
+    place.clock.heard(host.clock.now());
+    place.stands.notify_one();
     let (mut body, mut held) = (Body::new(framing, limits.list_line as u64), BytesMut::new());
     loop {
         match body.next(&mut wire.buf) {
             Ok(Some(Part::Bytes(data))) => {
                 host.list_heard();
+                place.clock.heard(host.clock.now());
                 held.extend_from_slice(&data);
-                while let Some(end) = held.iter().position(|b| *b == b'\n') {
-                    let line = held.split_to(end + 1);
-                    if line.trim_ascii().is_empty() {
-                        continue; // A sign of life.
-                    }
-                    let page: Page = match serde_json::from_slice(&line) {
-                        Ok(page) => page,
-                        Err(e) => return format!("malformed line: {e}"),
+                loop {
+                    let page = match whole(&mut held) {
+                        Ok(Some(page)) => page,
+                        Ok(None) => break,
+                        Err(e) => return format!("malformed: {e}"),
                     };
                     place.version.set(Some(page.version));
                     take(host, &page, if page.full { ListKind::Full } else { ListKind::Delta });
                     place.answered.notify_one();
                 }
                 if held.len() > limits.list_line {
-                    return "line too long".into();
+                    return "object too long".into();
                 }
             }
             Ok(Some(Part::End)) => return "ended".into(),
             Err(_) => return "malformed chunk".into(),
-            Ok(None) => match timeout(limits.list_silence, wire.more()).await {
-                Ok(Ok(true)) => {}
-                Ok(Ok(false)) => return "connection closed".into(),
-                Ok(Err(e)) => return e.to_string(),
-                Err(_) => return "silent for too long".into(),
+            Ok(None) => match wire.more().await {
+                Ok(true) => {}
+                Ok(false) => return "connection closed".into(),
+                Err(e) => return e.to_string(),
             },
         }
     }
 }
+
+/// Takes the first object off what has come, once it is whole. One may stand on a line, as the protocol has it, or be
+/// indented over many: where it ends, its braces say. Blank lines between objects are signs of life.
+pub fn whole(held: &mut BytesMut) -> Result<Option<Page>, serde_json::Error> {
+    let mut objects = serde_json::Deserializer::from_slice(held).into_iter();
+    match objects.next() {
+        Some(Ok(page)) => {
+            let end = objects.byte_offset();
+            drop(held.split_to(end));
+            Ok(Some(page))
+        }
+        // Begun, and not all there yet.
+        Some(Err(e)) if e.is_eof() => Ok(None),
+        Some(Err(e)) => Err(e),
+        None => {
+            held.clear();
+            Ok(None)
+        }
+    }
+}
--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::*;
-use tallypin::api::PeerId;
+use tallypin::api::{ListMode, PeerId};
 use tallypin_router::config::PeerAddresses;
 use tallypin_router::dialect::Dialect::Chat;
 use tallypin_router::limits::Limits;
@@ -487,6 +487,45 @@
     });
 }
 
+/// Guards against lists that are pushed and never read: the module asks for none there, and what the agent holds counts
+/// as told. In an outage the agent takes calls and answers none; each is given up for the next.
+#[test]
+fn a_pushed_list_is_followed_from_the_start_and_called_for_until_the_agent_speaks_again() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let agent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut config = config();
+        config.deployment.decisions.list = ListMode::Pushed;
+        config.node_list = agent.local_addr().unwrap();
+        (config.limits.list_silence, config.limits.agent_answer) = (100 * MS, 50 * MS);
+        let router = Router::by(config, Chat, &[], None).await;
+        let (mut call, head) = next_call(&agent).await;
+        assert!(head.starts_with("GET /discovery/hosts?follow=1 HTTP/1.1\r\n"), "{head}");
+        // Indented, and in two pieces.
+        let text = format!(
+            "{{\n  \"version\": 41,\n  \"full\": true,\n  \"servers\": [\n    {{\"id\": \"s-1\",\n     \"addr\": \"{}\",\n     \
+             \"state\": \"active\"}}\n  ]\n}}\n\n",
+            node.addr
+        );
+        let (first, second) = text.split_at(70);
+        call.send(&format!("{WATCH}{:x}\r\n{first}\r\n", first.len())).await;
+        call.send(&format!("{:x}\r\n{second}\r\n", second.len())).await;
+        until(|| router.host.nodes.ready() == 1).await;
+        // It falls silent, and so does whoever is called after it.
+        let mut unanswered = Vec::new();
+        for _ in 0..3 {
+            let (call, head) = next_call(&agent).await;
+            assert!(head.contains("since=41"), "{head}");
+            assert_eq!(Client::to(router.addr).await.ask("").await.0, 200, "what is held goes on being used");
+            unanswered.push(call);
+        }
+        let (mut back, _) = next_call(&agent).await;
+        back.send(&(WATCH.to_string() + &page(42, false, "s-1", &node, "leaving"))).await;
+        until(|| router.host.nodes.ready() == 0).await;
+        assert_eq!(Client::to(router.addr).await.ask("").await.0, 503);
+    });
+}
+
 /// Guards against a list that is followed for good where the start found it: its place moves, the old one
 /// ends, and nothing further would be heard.
 #[test]
