--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,6 +54,8 @@
 const LEAST_HOMES: f64 = 2.0;
 /// Homes per replica's worth of a beginning's traffic.
 const HOMES_PER_SHARE: f64 = 5.0;
+/// The share is told apart from chance by so many requests; of the beginning's own one says nothing.
+const SHARE_DOUBT: f64 = 50.0;
 /// Tokens read per second before any sample says otherwise.
 const READ_PER_S: f64 = 10_000.0;
 /// Weight of a new sample in the pace of a kind of machine: answers differ much in length.
@@ -510,23 +512,21 @@
         found.clear();
         let mut known = usize::MAX;
         if let Some(key) = r.prefix.map(|p| p.0).or(r.session.map(|s| s.0)) {
-            let hits = r.prefix.and_then(|p| self.prefixes.get(&p)).map_or(0.0, |h| h.count);
+            let hits = r.prefix.and_then(|p| self.prefixes.get(&p)).copied().unwrap_or_default();
             let (near, all) = (self.members.near.all().len() as f64, self.members.ready.all().len() as f64);
             let reach = near + (all - near) * self.far_weight;
-            let spread = hits / self.fleet.traffic.count * reach * HOMES_PER_SHARE;
+            let spread = hits.share_of(&self.fleet.traffic, SHARE_DOUBT) * reach * HOMES_PER_SHARE;
             // More homes than a pick looks at: the beginning is split; gateways agree on a session's part.
             let parts = (spread / MOST_HOMES as f64).max(1.0).log2().ceil().exp2();
             let key = if parts > 1.0 { mix(key, mix(session, 0) % parts as u64) } else { key };
             let spread = (spread / parts).clamp(LEAST_HOMES, MOST_HOMES as f64);
             let homes = self.members.homes(key, self.set.zone, self.far_weight, |i| &self.replicas[i].row);
             // Among the homes a session has one of its own, drawn by weighted rendezvous: gateways whose
-            // views of the beginning's share differ a little still agree for most sessions. In mixed fleets,
-            // kinds of machines seen to be fast weigh more.
+            // views of the beginning's share differ a little still agree for most sessions.
             let mut own = (f64::MAX, 0);
             for (rank, &i) in homes.iter().enumerate() {
                 let weight = (-(rank as f64) / spread).exp();
-                let row = &self.replicas[i].row;
-                let race = unit_race(mix(session, row.replica.0)) / (weight * self.fleet.speed(row.kind));
+                let race = unit_race(mix(session, self.replicas[i].row.replica.0)) / weight;
                 if race < own.0 {
                     own = (race, rank);
                 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -247,3 +247,66 @@
         resume: d.family_info.resume,
     })
 }
+
+/// A field that no gateway can go by: its path in the object, and what is wanted there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Impossible {
+    /// The path, as `Profiles[1].GoalTimeNs`.
+    pub path: String,
+    /// What it has to be.
+    pub wanted: &'static str,
+}
+
+impl Deployment {
+    /// The first field that is missing or that no gateway can go by, in the order of the page. Unknown fields, and names
+    /// that nobody uses, are no fault.
+    pub fn impossible(&self) -> Option<Impossible> {
+        let set = &self.decisions;
+        let usable = |x: f64| x.is_finite() && x >= 0.0;
+        let twice = |names: &mut dyn Iterator<Item = &str>| {
+            let mut seen = std::collections::BTreeSet::new();
+            names.enumerate().find(|(_, name)| !seen.insert(*name)).map(|(i, _)| i)
+        };
+        let fault = |wrong: bool, path: &str, wanted| wrong.then(|| Impossible { path: path.into(), wanted });
+        let class = |(i, (c, name)): (usize, (&Class, &ClassName))| {
+            let at = |field: &str| format!("Profiles[{i}].{field}");
+            fault(name.name.is_empty(), &at("Name"), "a name")
+                .or(fault(c.aim == 0, &at("GoalTimeNs"), "a time above 0, ns"))
+                .or(fault(name.deadline == 0, &at("DeadlineNs"), "a time above 0, ns"))
+                .or(fault(!usable(c.worth), &at("Worth"), "a number of 0 or more"))
+                .or(fault(!(0.0..=1.0).contains(&c.late_share), &at("LateShare"), "0 to 1"))
+        };
+        let tenant = |(i, (t, name)): (usize, (&Tenant, &String))| {
+            let at = |field: &str| format!("Tenants[{i}].{field}");
+            let quota = usable(t.quota_per_s) && t.quota_per_s > 0.0;
+            fault(name.is_empty(), &at("Name"), "a name").or(fault(
+                !quota,
+                &at("QuotaPerS"),
+                "requests a second, above 0",
+            ))
+        };
+        let pairs = set.classes.iter().zip(&self.classes);
+        fault(set.classes.is_empty(), "Profiles", "one class at least")
+            .or_else(|| pairs.enumerate().find_map(class))
+            .or_else(|| {
+                let i = twice(&mut self.classes.iter().map(|c| &*c.name))?;
+                fault(true, &format!("Profiles[{i}].Name"), "a name of its own")
+            })
+            .or_else(|| set.tenants.iter().zip(&self.partners).enumerate().find_map(tenant))
+            .or_else(|| {
+                let i = twice(&mut self.partners.iter().map(|p| &**p))?;
+                fault(true, &format!("Tenants[{i}].Name"), "a name of its own")
+            })
+            .or(fault(set.gateways == 0, "ReplicasOfMe", "1 or more"))
+            .or(fault(set.me.0 >= set.gateways, "Me", "a number below ReplicasOfMe"))
+            .or(fault(
+                set.zone.0 as usize >= self.zones.len().max(1),
+                "MyZone",
+                "a place in Zones, counted from 0",
+            ))
+            .or(fault(set.try_limit == 0, "Limits.TryLimit", "1 or more"))
+            .or(fault(!(0.0..=1.0).contains(&set.cold_share), "Rules.ColdShare", "0 to 1"))
+            .or(fault(!usable(set.fall_multiple), "Rules.FallMultiple", "a number of 0 or more"))
+            .or(fault(!usable(set.cross_zone_price), "Prices.CrossZone", "a number of 0 or more"))
+    }
+}
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -31,6 +31,12 @@
         let age = now.saturating_sub(self.at) as f64 / SECOND as f64;
         *self = Recent { count: self.count * (-age / RECENT_S).exp() + 1.0, at: now };
     }
+
+    /// Its share of all, 0 to 1, as far as it stands out from chance: the first hit says nothing of it, and `doubt`
+    /// further hits are taken to have been others'. One of three requests is no third of the traffic.
+    pub(crate) fn share_of(&self, all: &Recent, doubt: f64) -> f64 {
+        (self.count - 1.0).max(0.0) / (all.count + doubt)
+    }
 }
 
 impl Fit {
--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -43,6 +43,46 @@
     assert_eq!(stayed, 30, "its prompt is kept there, and no longer at its home");
 }
 
+/// Guards against hundreds of gateways that each have a home of their own for a session: what each has seen, some
+/// twenty requests and first tokens of two kinds of machines, says little of a beginning's share or a kind's speed.
+#[test]
+fn gateways_that_have_seen_little_agree_on_a_session_s_home() {
+    let kinds = |n| ReplicaRow { kind: (n % 2) as u32, ..row(n) };
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut homes: Vec<Vec<ReplicaId>> = vec![vec![]; 40];
+    for me in 0..30 {
+        let mut set = settings(30, me);
+        set.cross_zone_price = 0.0;
+        let mut w = World::new(set, u64::from(me));
+        w.list(ListKind::Cached, (0..60).map(kinds).collect());
+        for n in 0..20 {
+            w.run_to(w.now + 500 * MS);
+            // Few beginnings have most of the traffic.
+            let prefix = Some(PrefixKey(40u64.pow(2) / rng.u64(40..1600)));
+            w.demand(Request { prefix, session: Some(SessionKey(rng.u64(..))), ..request(n) });
+            w.run_to(w.now + rng.u64(10..200) * MS);
+            w.first(RequestId(n), 0);
+            w.run_to(w.now + rng.u64(100..4_000) * MS);
+            w.end(RequestId(n), 0, Outcome::Done);
+        }
+        for (session, homes) in homes.iter_mut().enumerate() {
+            let (n, session) = (100 + session as u64, session as u64);
+            let prefix = Some(PrefixKey(session % 20 + 1));
+            let asked = Request { prompt_tokens: 20_000, prefix_tokens: 8_000, prefix, ..request(n) };
+            homes.push(
+                World::sent_to(&w.demand(Request { session: Some(SessionKey(session)), ..asked }))
+                    .expect("sent"),
+            );
+            w.run_to(w.now + 10 * MS);
+            w.first(RequestId(n), 0);
+            w.end(RequestId(n), 0, Outcome::Done);
+        }
+    }
+    let most = |homes: &Vec<ReplicaId>| homes.iter().map(|h| homes.iter().filter(|o| *o == h).count()).max();
+    let agreed: usize = homes.iter().filter_map(most).sum();
+    assert!(agreed > 30 * 40 * 9 / 10, "{agreed} of 1200 turns go where most of the session's would go");
+}
+
 #[test]
 fn a_holder_that_started_again_holds_nothing() {
     let (mut w, home, other) = moved();
