--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tallypin::settings::{self, Deployment};
+use tallypin::settings::{self, Deployment, Impossible};
 
 use crate::limits::Limits;
 use crate::node_list::Page;
@@ -122,6 +122,9 @@
         let file: File = crate::config::read(text)?;
         let deployment = settings::parse(file.settings.get())
             .map_err(|e| Malformed::new(&format!("settings.{}", e.path()), e.inner()))?;
+        if let Some(Impossible { path, wanted }) = deployment.impossible() {
+            return Err(Malformed::new(&format!("settings.{path}"), format!("wanted: {wanted}")));
+        }
         deployment.decisions.check().map_err(|e| Malformed::new("settings", e))?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| Malformed::new("seed", "not 1 to 16 hex digits"))?;
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -58,7 +58,12 @@
 impl Row {
     /// The row as the module reads it.
     pub fn decode(&self, of: &Deployment) -> ReplicaRow {
-        let place = |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(0) as u32;
+        // A name that the settings lack is none of theirs: not the first zone, which may be the own one. A row that
+        // names none is of a deployment that tells none apart.
+        let place = |list: &[String], name: &str| match name {
+            "" => 0,
+            _ => list.iter().position(|n| n == name).unwrap_or(list.len()) as u32,
+        };
         ReplicaRow {
             replica: names::node(&self.id),
             state: match self.state.as_str() {
--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -261,12 +261,31 @@
         ("\"TryLimit\": 4", "\"TryLimit\": 0"),
         ("\"GoalTimeNs\": 1200000000", "\"GoalTimeNs\": 0"),
         ("\"ReplicasOfMe\": 2", "\"ReplicasOfMe\": 0"),
+        ("\"Me\": 0", "\"Me\": 2"),
+        ("\"MyZone\": 0", "\"MyZone\": 1"),
+        ("\"Name\": \"belege\"", "\"Name\": \"chat\""),
+        ("\"DeadlineNs\": 6000000000", "\"DeadlineNs\": 0"),
+        ("\"QuotaPerS\": 1000.0", "\"QuotaPerS\": -1.0"),
+        ("\"ColdShare\": 0.15", "\"ColdShare\": 1.5"),
+        ("\"Profiles\": [", "\"Profiles\": [], \"Unknown\": ["),
     ];
     let said = cases.map(|(from, to)| {
         let text = common::CONFIG.replace(from, to);
         format!("{to}: {}", Config::parse(&text).expect_err(to))
     });
     insta::assert_snapshot!(said.join("\n"));
+    // What is not known, and none or several zones, kinds and partners, are no fault.
+    for (from, to) in [
+        ("\"Family\": \"llm\"", "\"Novelty\": {\"x\": [1]}, \"Family\": \"llm\""),
+        ("\"Zones\": [\"rz-garching\"]", "\"Zones\": []"),
+        ("\"Zones\": [\"rz-garching\"]", "\"Zones\": [\"a\", \"b\", \"c\"]"),
+        ("\"Kinds\": [\"gpu-neu\", \"gpu-alt\"]", "\"Kinds\": []"),
+        ("\"Tenants\": [", "\"Tenants\": [], \"Novelty\": ["),
+    ] {
+        let text = common::CONFIG.replace(from, to);
+        assert_ne!(text, common::CONFIG, "{from}");
+        Config::parse(&text).unwrap_or_else(|e| panic!("{to}: {e}"));
+    }
     let of = common::config().deployment;
     let file = common::settings("");
     let cases = [
