--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -106,3 +106,144 @@
     core.tick(START + 60 * SECOND);
     assert!(core.noted() < 2000, "{} of 6000", core.noted());
 }
+
+/// Settings of a deployment, drawn over the ranges that deployments have: names, counts, limits, how lists come, what is
+/// told and allowed. `name` makes up each name.
+fn drawn(rng: &mut fastrand::Rng, name: impl Fn(&str, usize) -> String) -> String {
+    let names = |what: &str, n: usize| (0..n).map(|i| name(what, i)).collect::<Vec<_>>();
+    let gateways = rng.u32(1..300);
+    let (zones, kinds) = (rng.usize(0..4), rng.usize(0..4));
+    let effects = ["pure", "token", "side_effect", "pure", "pure"];
+    let groups = ["all", "zone", "cell"];
+    let how = ["on_request", "pushed"][rng.usize(..2)];
+    let class = |(i, name): (usize, String), rng: &mut fastrand::Rng| {
+        let aim = rng.u64(200..3_000);
+        serde_json::json!({"Name": name, "GoalTimeNs": aim * MS, "DeadlineNs": aim * rng.u64(1..6) * MS,
+            "Effect": effects[(i + rng.usize(..5)) % 5], "Group": groups[rng.usize(..3)],
+            "WindowNs": rng.u64(1..5) * SECOND, "Worth": rng.f64() * 5.0, "LateShare": rng.u32(0..3) as f64 / 2.0})
+    };
+    let classes = names("class", rng.usize(1..6)).into_iter().enumerate();
+    let classes: Vec<_> = classes.map(|c| class(c, rng)).collect();
+    let tenants = names("tenant", rng.usize(0..5)).into_iter();
+    let tenants: Vec<_> =
+        tenants.map(|t| serde_json::json!({"Name": t, "QuotaPerS": 0.1 + rng.f64() * 50.0})).collect();
+    serde_json::json!({"Discovery": how, "Kinds": names("kind", kinds),
+        "Zones": names("zone", zones), "Me": rng.u32(..gateways), "ReplicasOfMe": gateways,
+        "MyZone": if zones == 0 { 0 } else { rng.usize(..zones) }, "Profiles": classes, "Tenants": tenants,
+        "FamilyInfo": {"Resume": rng.bool(), "AimUsPer1000PromptTokens": [rng.f64() * 60_000.0]},
+        "Limits": {"Cancel": rng.bool(), "ParallelTries": rng.bool(), "Peers": rng.bool(), "Probes": rng.bool(),
+            "RetryAfter": rng.bool(), "MaxRetryAfterNs": rng.u64(0..3) * SECOND, "TryLimit": rng.u32(1..7)},
+        "Prices": {"CrossZone": rng.f64() * 0.05},
+        "Report": {"Fields": if rng.bool() { vec!["q", "x1"] } else { vec![] }},
+        "Rules": {"ColdNs": rng.u64(0..30) * SECOND, "ColdShare": rng.f64(), "FallMultiple": 1.0 + rng.f64() * 4.0,
+            "FallNs": rng.u64(1..4) * SECOND, "MustAskInNs": rng.u64(1..20) * SECOND}})
+    .to_string()
+}
+
+/// What becomes of each request, and what the core orders, over a course drawn by a seed.
+fn course(settings: &str, seed: u64) -> Vec<Order> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let of = tallypin::settings::parse(settings).unwrap_or_else(|e| panic!("{e}: {settings}"));
+    assert_eq!(of.impossible(), None, "{settings}");
+    let (set, resumed) = (of.decisions.clone(), of.resume);
+    let mut core = Core::new(set.clone(), seed, 10 * MS).expect("usable");
+    let row = |n: u32, state, started| ReplicaRow {
+        replica: names::node(&format!("s-{n}")),
+        state,
+        last_start: started,
+        zone: ZoneId(n % 3),
+        cell: n / 2,
+        kind: n % 4,
+    };
+    let (mut now, mut all, mut out, mut drained) = (START, Vec::new(), Vec::new(), Vec::new());
+    core.list(now, ListKind::Cached, (0..8).map(|n| row(n, ReplicaState::Ready, 0)).collect());
+    let (mut taken, mut answered) = (0u64, std::collections::BTreeMap::new());
+    for step in 0..600 {
+        // At the end nothing more is asked, for longer than any client waits.
+        now += if step < 500 { rng.u64(1..60) } else { 60 } * MS;
+        match rng.u8(..12) {
+            _ if step >= 500 => {}
+            0..=5 => {
+                taken += 1;
+                core.take(
+                    now,
+                    Ask {
+                        class: ClassId(rng.u32(..7)),
+                        partner: TenantId(rng.u32(..6)),
+                        left: rng.u64(0..4_000) * MS,
+                        prompt_tokens: rng.u32(..60_000),
+                        beginning_tokens: rng.u32(..60_000),
+                        session: rng.bool().then(|| SessionKey(rng.u64(..9))),
+                        beginning: rng.bool().then(|| PrefixKey(rng.u64(..5))),
+                        returned: resumed && rng.u8(..9) == 0,
+                        again: rng.bool(),
+                    },
+                );
+            }
+            6 => {
+                let (n, state) =
+                    (rng.u32(..8), [ReplicaState::Ready, ReplicaState::Draining][rng.usize(..2)]);
+                let id = names::node(&format!("s-{n}"));
+                drained.retain(|d| *d != id);
+                drained.extend((state != ReplicaState::Ready).then_some(id));
+                core.list(now, ListKind::Delta, vec![row(n, state, now - rng.u64(..9) * SECOND)]);
+            }
+            7 => core.list(now, ListKind::Failed, Vec::new()),
+            8 => core.peer(now, PeerId(rng.u32(..400)), (0..rng.usize(..300)).map(|_| rng.u8(..)).collect()),
+            _ => {}
+        }
+        // Some of what is out begins, ends, breaks or is never heard of again.
+        for _ in 0..rng.usize(..4).min(out.len()) {
+            let (id, attempt, begun): (RequestId, u32, bool) = out.swap_remove(rng.usize(..out.len()));
+            match rng.u8(..5) {
+                0 if !begun => {}
+                1 | 2 if !begun => {
+                    if core.started(now, id, attempt) {
+                        out.push((id, attempt, true));
+                    }
+                }
+                _ => {
+                    let outcomes =
+                        [Outcome::Done, Outcome::Error, Outcome::Busy, Outcome::Refused, Outcome::Reset];
+                    let outcome = if begun { Outcome::Done } else { outcomes[rng.usize(1..5)] };
+                    core.ended(now, id, attempt, outcome.into());
+                }
+            }
+        }
+        core.tick(now);
+        for order in core.orders() {
+            match &order {
+                Order::Begin(id, attempt, node, _) => {
+                    assert!(!drained.contains(node), "rule 3: {order:?}");
+                    assert!(*attempt < set.try_limit && !answered.contains_key(id), "rule 1: {order:?}");
+                    out.push((*id, *attempt, false));
+                }
+                Order::Close(id, attempt) => out.retain(|(i, a, _)| (i, a) != (id, attempt)),
+                Order::Answer(id, with) => assert_eq!(answered.insert(*id, *with), None, "one final answer"),
+                Order::Probe(_) => assert!(set.probes, "no probe where none is allowed"),
+                Order::Tell(bytes) => assert!(set.peers && bytes.len() <= 256),
+                Order::Watch => assert!(set.list != ListMode::Pushed),
+            }
+            all.push(order);
+        }
+    }
+    // Streams that have begun have no deadline; all else has been answered by now.
+    for (id, attempt, _) in out {
+        core.ended(now, id, attempt, Outcome::Reset.into());
+    }
+    let late = core.orders().into_iter().filter(|o| matches!(o, Order::Answer(..))).count() as u64;
+    assert_eq!(answered.len() as u64 + late, taken, "each request has its answer");
+    assert_eq!(core.open(), 0, "and nothing is kept of it");
+    all
+}
+
+/// Whatever a deployment's settings are, within what its pages allow: the rules hold, and names decide nothing.
+#[test]
+fn any_settings_keep_the_rules_and_names_decide_nothing() {
+    for seed in 0..300 {
+        let draw = |name: fn(&str, usize) -> String| drawn(&mut fastrand::Rng::with_seed(seed), name);
+        let plain = course(&draw(|what, i| format!("{what}-{i}")), seed);
+        let other = course(&draw(|what, i| format!("Größe {} von {what}", 97 - i)), seed);
+        assert_eq!(plain, other, "seed {seed}: other names, other decisions");
+    }
+}
--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -274,6 +274,9 @@
         format!("{to}: {}", Config::parse(&text).expect_err(to))
     });
     insta::assert_snapshot!(said.join("\n"));
+    for example in [include_str!("../../examples/config.json"), include_str!("../../examples/two-zones.json")] {
+        Config::parse(example).unwrap_or_else(|e| panic!("{e}"));
+    }
     // What is not known, and none or several zones, kinds and partners, are no fault.
     for (from, to) in [
         ("\"Family\": \"llm\"", "\"Novelty\": {\"x\": [1]}, \"Family\": \"llm\""),
