--- a/src/choice.rs
+++ b/src/choice.rs
@@ -513,7 +513,7 @@
             let hits = r.prefix.and_then(|p| self.prefixes.get(&p)).copied().unwrap_or_default();
             let (near, all) = (self.members.near.all().len() as f64, self.members.ready.all().len() as f64);
             let reach = near + (all - near) * self.far_weight;
-            // Read for longer than its aim, it is in time only where it is kept: all have to agree on few homes.
+            // Read for longer than its aim, it is in time only where it is kept: all agree on few homes.
             let long = prompt * per_token > aim;
             let doubt = if long { SHARE_DOUBT } else { 0.0 };
             let spread = hits.share_of(&self.fleet.traffic, doubt) * reach * HOMES_PER_SHARE;
