--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -274,7 +274,8 @@
         format!("{to}: {}", Config::parse(&text).expect_err(to))
     });
     insta::assert_snapshot!(said.join("\n"));
-    for example in [include_str!("../../examples/config.json"), include_str!("../../examples/two-zones.json")] {
+    for example in [include_str!("../../examples/config.json"), include_str!("../../examples/two-zones.json")]
+    {
         Config::parse(example).unwrap_or_else(|e| panic!("{e}"));
     }
     // What is not known, and none or several zones, kinds and partners, are no fault.
