--- a/tests/health.rs
+++ b/tests/health.rs
@@ -151,7 +151,7 @@
         w.run_to(w.now + 20 * MS);
         let (mut out, mut a) = (w.demand(plain(n)), 0);
         while let Some(to) = World::sent_to(&out) {
-            if w.rows[&to].zone == ZoneId(0) {
+            if w.rows[&to].zone == ZoneId(1) {
                 w.first(RequestId(n), a);
                 out = w.end(RequestId(n), a, Outcome::Done);
                 served += 1;
@@ -163,7 +163,7 @@
             a += 1;
         }
     }
-    assert_eq!(served, 1000);
+    assert!(served > 990, "{served} of 1000: the first ones meet the lost before they are known");
     // Four of them, tried again 3, 6, 12, then 24 s later, over the 20 s and what the attempts took.
     assert!(lost <= 4 * 4, "{lost} attempts at replicas that are lost");
 }
