--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -14,7 +14,7 @@
 use tallypin::settings::Deployment;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 
 use crate::host::Host;
 use crate::http::{Body, Framing, Head, Part, Start, Wire};
@@ -143,10 +143,10 @@
                 Step::Broken => break "silent for too long".into(),
                 Step::Wait(until) => tokio::select! {
                     biased;
-                    why = running(&mut self.watching) => break why,
+                    why = or_never(self.watching.as_mut()) => break why,
                     () = self.place.stands.notified() => {}
                     // What is heard meanwhile puts the time off: looked at again then.
-                    () = asleep(host, until) => {}
+                    () = or_never(until.map(|at| sleep_until(host.clock.instant(at).into()))) => {}
                 },
             }
         };
@@ -156,30 +156,10 @@
     }
 }
 
-async fn running(watching: &mut Option<Watching>) -> String {
-    match watching {
-        Some(watching) => watching.await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn asleep(host: &Host, until: Option<Nanos>) {
-    match until {
-        Some(at) => tokio::time::sleep_until(host.clock.instant(at).into()).await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn run(follow: &mut Option<Follow>, host: &Rc<Host>) -> String {
-    match follow {
-        Some(follow) => follow.run(host).await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn answered(place: &Option<Rc<Place>>) {
-    match place {
-        Some(place) => place.answered.notified().await,
+/// Waits for something, or for ever if there is nothing to wait for.
+async fn or_never<F: Future>(something: Option<F>) -> F::Output {
+    match something {
+        Some(something) => something.await,
         None => std::future::pending().await,
     }
 }
@@ -196,10 +176,10 @@
     let moving = Terms { answer: Some(limits.list_answer), again: Some(limits.list_again), ..asked };
     let (terms, moving) = if pushed { (agent, agent) } else { (asked, moving) };
     let mut named = host.list_at.subscribe();
-    let mut current = Some(Follow::new(*named.borrow_and_update(), terms));
+    let mut current = Follow::new(*named.borrow_and_update(), terms);
     let mut next: Option<Follow> = None;
     if pushed {
-        current.iter().for_each(|c| c.place.clock.wanted(host.clock.now()));
+        current.place.clock.wanted(host.clock.now());
     }
     loop {
         let next_place = next.as_ref().map(|n| n.place.clone());
@@ -214,24 +194,24 @@
                 follow.place.clock.wanted(host.clock.now());
                 next = Some(follow);
             }
-            () = answered(&next_place) => {
-                current = next.take();
-                if let Some(Follow { place, .. }) = &current {
-                    tracing::info!(target: "node_list", at = %place.at, "node list: now from the new place");
-                    place.clock.hold_to(terms);
+            () = or_never(next_place.as_ref().map(|p| p.answered.notified())) => {
+                if let Some(told) = next.take() {
+                    tracing::info!(target: "node_list", at = %told.place.at, "node list: now from the new place");
+                    told.place.clock.hold_to(terms);
+                    current = told;
                 }
             }
-            why = run(&mut next, &host) => {
+            why = or_never(next.as_mut().map(|n| n.run(&host))) => {
                 tracing::warn!(target: "node_list", at = ?next.as_ref().map(|n| n.place.at), why, "node list: asked again");
             }
             // A further wish means that the last one has not been answered in good time.
             () = host.list_wanted.notified() => {
-                if let (None, Some(Follow { place, .. })) = (&next, &current) {
-                    place.clock.wanted(host.clock.now());
+                if next.is_none() {
+                    current.place.clock.wanted(host.clock.now());
                 }
             }
-            why = run(&mut current, &host) => {
-                tracing::warn!(target: "node_list", at = ?current.as_ref().map(|c| c.place.at), why, "node list: watch lost");
+            why = current.run(&host) => {
+                tracing::warn!(target: "node_list", at = %current.place.at, why, "node list: watch lost");
                 host.with(|core, now| core.list(now, ListKind::Failed, Vec::new()));
             }
         }
