--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -125,7 +125,6 @@
         if let Some(Impossible { path, wanted }) = deployment.impossible() {
             return Err(Malformed::new(&format!("settings.{path}"), format!("wanted: {wanted}")));
         }
-        deployment.decisions.check().map_err(|e| Malformed::new("settings", e))?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|_| Malformed::new("seed", "not 1 to 16 hex digits"))?;
         if file.limits.sockets < 64 {
--- a/src/api.rs
+++ b/src/api.rs
@@ -178,7 +178,6 @@
 impl Settings {
     /// Whether a gateway can decide by these.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let usable = |x: f64| x.is_finite() && x >= 0.0;
         if self.classes.is_empty() {
             return Err(SettingsError::NoClasses);
         }
@@ -206,6 +205,11 @@
     }
 }
 
+/// Whether a number can be one of the settings.
+pub(crate) fn usable(x: f64) -> bool {
+    x.is_finite() && x >= 0.0
+}
+
 /// What is wrong with [`Settings`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SettingsError {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -622,9 +622,9 @@
     fn eligible(&self, now: Nanos, i: usize, open: &Open) -> bool {
         let r = &self.replicas[i];
         let tried = open.attempts.iter().any(|a| a.row.replica == r.row.replica);
-        // Rule 4, beside rule 2.
-        let warm = !self.is_cold(now, r) || self.cold_credit(now, r) >= 1.0;
-        !tried && warm && self.effect_allows(now, i, open)
+        // Rules 2 and 4.
+        let may = |r| !self.is_cold(now, r) || self.cold_credit(now, r) >= 1.0;
+        !tried && self.effect_allows(now, i, open) && may(r)
     }
 
     /// Rule 2: an attempt that may have run binds later ones to its group and window, or forbids them.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -262,7 +262,6 @@
     /// that nobody uses, are no fault.
     pub fn impossible(&self) -> Option<Impossible> {
         let set = &self.decisions;
-        let usable = |x: f64| x.is_finite() && x >= 0.0;
         let twice = |names: &mut dyn Iterator<Item = &str>| {
             let mut seen = std::collections::BTreeSet::new();
             names.enumerate().find(|(_, name)| !seen.insert(*name)).map(|(i, _)| i)
