--- a/accord/src/watch.rs
+++ b/accord/src/watch.rs
@@ -49,8 +49,6 @@
 pub struct Heard {
     /// Its life.
     pub life: u64,
-    /// It serves.
-    pub serving: bool,
     /// What it has answered.
     pub counts: Counts,
 }
@@ -201,7 +199,7 @@
     }
 
     fn heard(failed: u64, of: u64) -> Vec<Option<Heard>> {
-        let one = |counts| Some(Heard { life: 8, serving: true, counts });
+        let one = |counts| Some(Heard { life: 8, counts });
         let well = Counts { answered: of, ..Counts::default() };
         vec![one(Counts { failed, ..well }), one(well), one(well), one(well)]
     }
--- a/accord/tests/fleet.rs
+++ b/accord/tests/fleet.rs
@@ -256,8 +256,8 @@
             return;
         }
         let heard = |p| {
-            let (life, serving) = router.presence.here(now, p)?;
-            Some(Heard { life, serving, counts: Counts::default() })
+            let (life, _) = router.presence.here(now, p)?;
+            Some(Heard { life, counts: Counts::default() })
         };
         let heard: Vec<_> = (0..n).map(heard).collect();
         if let Some(act) = router.watch.next(now, known, &self.bounds, &heard) {
--- a/router/src/fleet/conduct.rs
+++ b/router/src/fleet/conduct.rs
@@ -56,9 +56,9 @@
         }
         let told = self.told.borrow();
         let heard = (0..).zip(told.iter()).map(|(place, told): (Place, _)| {
-            let (life, serving) = presence.here(now, place)?;
+            let (life, _) = presence.here(now, place)?;
             let told = told.as_ref().filter(|(of, _)| *of == life);
-            Some(Heard { life, serving, counts: told.map(|(_, t)| t.counts).unwrap_or_default() })
+            Some(Heard { life, counts: told.map(|(_, t)| t.counts).unwrap_or_default() })
         });
         let heard: Vec<Option<Heard>> = heard.collect();
         let release = watch.next(now, &document, &self.settings.bounds, &heard);
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -811,12 +811,10 @@
                 continue;
             };
             let (path, name, version) = (path.clone(), self.settings.name.clone(), document.version);
-            let write = tokio::task::spawn_blocking(move || stored::write(&path, &name, &document));
-            match tokio::time::timeout(DISK, write).await {
-                Ok(Ok(Ok(()))) => (last, told) = (Some(version), false),
-                other => {
+            match off_thread(move || stored::write(&path, &name, &document)).await {
+                Ok(()) => (last, told) = (Some(version), false),
+                Err(why) => {
                     if !told {
-                        let why = format!("{other:?}");
                         tracing::warn!(target: "fleet", why, "what is agreed on can't be stored");
                     }
                     told = true;
@@ -832,14 +830,8 @@
         loop {
             sleep(KEYS).await;
             let path = self.settings.key.clone();
-            let text = tokio::task::spawn_blocking(move || std::fs::read_to_string(path));
-            let read = match tokio::time::timeout(DISK, text).await {
-                Ok(Ok(Ok(text))) => Keys::read(&self.settings.name, &text),
-                Ok(Ok(Err(e))) => Err(e.to_string()),
-                Ok(Err(e)) => Err(e.to_string()),
-                Err(_) => Err("the disk does not answer".into()),
-            };
-            match read {
+            let text = off_thread(move || std::fs::read_to_string(path)).await;
+            match text.and_then(|text| Keys::read(&self.settings.name, &text)) {
                 Ok(keys) if keys != *self.keys.borrow() => {
                     tracing::info!(target: "fleet", ?keys, "goes by other keys now");
                     self.keys.replace(keys);
@@ -862,11 +854,7 @@
     ) -> Result<T, String> {
         let of = self.settings.released.iter().find(|r| r.what == what);
         let of = of.cloned().ok_or_else(|| format!("its settings have no place for `{what}`"))?;
-        match tokio::time::timeout(DISK, tokio::task::spawn_blocking(move || does(of))).await {
-            Ok(Ok(done)) => done.map_err(|e| e.to_string()),
-            Ok(Err(e)) => Err(e.to_string()),
-            Err(_) => Err("the disk does not answer".into()),
-        }
+        off_thread(move || does(of)).await
     }
 
     /// Whether it has what is released, and could start with it.
@@ -905,15 +893,22 @@
 
 /// What is found stored at the start; what can't be used is told, and is none.
 async fn stored_there(path: std::path::PathBuf, name: String) -> Option<Document> {
-    let read = tokio::task::spawn_blocking(move || stored::read(&path, &name));
-    let why = match tokio::time::timeout(DISK, read).await {
-        Ok(Ok(Ok(document))) => return document,
-        Ok(Ok(Err(why))) => why,
-        Ok(Err(e)) => e.to_string(),
-        Err(_) => "the disk does not answer".into(),
-    };
-    tracing::warn!(target: "fleet", why, "what is stored of the fleet can't be used");
-    None
+    let read = off_thread(move || stored::read(&path, &name)).await;
+    read.unwrap_or_else(|why| {
+        tracing::warn!(target: "fleet", why, "what is stored of the fleet can't be used");
+        None
+    })
+}
+
+/// Does something with files off the thread that serves; a disk that hangs is given up.
+async fn off_thread<T: Send + 'static, E: ToString + Send + 'static>(
+    does: impl FnOnce() -> Result<T, E> + Send + 'static,
+) -> Result<T, String> {
+    match tokio::time::timeout(DISK, tokio::task::spawn_blocking(does)).await {
+        Ok(Ok(done)) => done.map_err(|e| e.to_string()),
+        Ok(Err(e)) => Err(e.to_string()),
+        Err(_) => Err("the disk does not answer".into()),
+    }
 }
 
 /// What became of a change: the document with it, or why it was not made.
--- a/router/src/fleet/settings.rs
+++ b/router/src/fleet/settings.rs
@@ -246,34 +246,35 @@
     all.map(|all| NodeBounds { all, zone: zone.unwrap_or(all), kind: kind.unwrap_or(all) })
 }
 
-/// `3`, or `10%`: of as many as are listed when it counts, rounded down, so at times of none.
-fn node_bound(word: &str) -> Result<Most, String> {
+/// `3`, or `10%`, up to so large a share.
+fn number_or_share(word: &str, largest: usize) -> Result<Most, String> {
     let digits = |w: &str| w.parse::<usize>().ok().filter(|_| w.bytes().all(|b| b.is_ascii_digit()));
     match word.strip_suffix('%') {
-        Some(share) => match digits(share).filter(|s| (1..100).contains(s)) {
-            Some(share) => Ok(Most::Share(share)),
-            None => Err("a share is 1% to 99%".into()),
-        },
-        None => match digits(word).ok_or("wants a number, or a share as 10%")? {
-            0 => Err("a bound of none would let nothing out; leave it away for that".into()),
-            most => Ok(Most::Number(most)),
-        },
+        Some(share) => digits(share)
+            .filter(|s| (1..=largest).contains(s))
+            .map(Most::Share)
+            .ok_or_else(|| format!("a share is 1% to {largest}%")),
+        None => digits(word).map(Most::Number).ok_or_else(|| "wants a number, or a share as 10%".into()),
     }
 }
 
-/// `3`, or `10%` of so many, rounded down. A share that is none is an error: it would stop every release, by accident.
+/// Of as many as are listed when it counts, rounded down, so at times of none.
+fn node_bound(word: &str) -> Result<Most, String> {
+    match number_or_share(word, 99)? {
+        Most::Number(0) => Err("a bound of none would let nothing out; leave it away for that".into()),
+        most => Ok(most),
+    }
+}
+
+/// Of so many, rounded down. A share that is none is an error: it would stop every release, by accident.
 /// The whole of a zone may go out, where the bound says so; the whole of a fleet may not.
 fn bound(word: &str, of: usize, whole: bool) -> Result<usize, String> {
-    let digits = |w: &str| w.parse::<usize>().ok().filter(|_| w.bytes().all(|b| b.is_ascii_digit()));
-    let most = match word.strip_suffix('%') {
-        Some(share) => {
-            let share = digits(share).filter(|s| (1..=100).contains(s)).ok_or("a share is 1% to 100%")?;
-            match of * share / 100 {
-                0 => return Err(format!("{share}% of {of} is none; say 1 to let one out")),
-                most => most,
-            }
-        }
-        None => digits(word).ok_or("wants a number, or a share as 10%")?,
+    let most = match number_or_share(word, 100)? {
+        Most::Share(share) => match of * share / 100 {
+            0 => return Err(format!("{share}% of {of} is none; say 1 to let one out")),
+            most => most,
+        },
+        Most::Number(most) => most,
     };
     match most {
         0 => Err("a bound of none would let nobody out".into()),
