--- a/router/tests/fleet_rig/mod.rs
+++ b/router/tests/fleet_rig/mod.rs
@@ -3,7 +3,7 @@
 
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use tallypin_standin::park::{List, Node};
+use tallypin_standin::park::{List, Node, Reserved};
 use tallypin_standin::relay::{Link, Relay};
 
 /// What is awaited comes within this, or the test fails: far more than any of it takes.
@@ -20,10 +20,6 @@
 const PATIENCE_LARGE: Duration = Duration::from_secs(180);
 const KEY: &str = "the key of this fleet of tests\n";
 
-fn free(ip: &str) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
-}
-
 const QUICK: &str = "beat 100ms\n silent 1500ms\n lease 1500ms\n answer 400ms\n within 4s";
 pub const ONE: &str = " out-most 1\n out-zone 1";
 pub const THREE: &str = " out-most 3\n out-zone 2";
@@ -84,6 +80,8 @@
     pub park: (List, Node),
     /// By who calls and who is called.
     relays: Vec<Vec<Option<Relay>>>,
+    /// Their addresses, kept from everybody else.
+    _reserved: Vec<Reserved>,
 }
 
 impl Fleet {
@@ -95,9 +93,13 @@
         let config = if config == CONFIG { &self::config(&list) } else { config };
         let base = std::env::temp_dir().join(format!("tallypin-fleet-{test}-{}", std::process::id()));
         let ip = |r: usize| format!("127.{net}.{}.{}", r % 250 + 1, r / 250 + 1);
+        let mut reserved = Vec::new();
         let routers: Vec<Router> = (0..routers)
             .map(|r| {
-                let (agent, at, front) = (free(&ip(r)), free(&ip(r)), free(&ip(r)));
+                let [agent, at, front] = [(); 3].map(|()| {
+                    reserved.push(Reserved::on(&ip(r)).unwrap());
+                    reserved[reserved.len() - 1].at
+                });
                 let dir = base.join(format!("r{r}"));
                 std::fs::create_dir_all(&dir).unwrap();
                 let (child, starts) = (Mutex::default(), AtomicUsize::new(0));
@@ -136,7 +138,13 @@
             }
             std::fs::write(router.dir.join("t.conf"), text + "\n}\n").unwrap();
         }
-        let fleet = Fleet { routers, relays, supervised: AtomicBool::new(false), park: (list, node) };
+        let fleet = Fleet {
+            routers,
+            relays,
+            supervised: AtomicBool::new(false),
+            park: (list, node),
+            _reserved: reserved,
+        };
         (0..fleet.routers.len()).for_each(|r| fleet.start(r));
         fleet
     }
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -4,9 +4,11 @@
 mod common;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::process::{Command, Stdio};
 
+use tallypin_standin::park::Reserved;
+
 fn tallypin() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tallypin"));
     command.env_clear().stdout(Stdio::piped()).stderr(Stdio::piped());
@@ -71,8 +73,9 @@
 /// Guards against a program that SIGHUP ends, as it does to whoever has no handler for it.
 #[test]
 fn sighup_has_the_configuration_read_again_and_sigterm_ends_it_with_exit_code_0() {
-    // A port that was free a moment ago: the program names none that it picks itself.
-    let listen = free("127.2.2.1");
+    // The program names no port that it picks itself.
+    let reserved = Reserved::on("127.2.2.1").unwrap();
+    let listen = reserved.at;
     let path = std::env::temp_dir().join(format!("tallypin-term-{}.json", std::process::id()));
     let good = include_str!("../../examples/config.json");
     std::fs::write(&path, good).unwrap();
@@ -112,6 +115,7 @@
     dir: std::path::PathBuf,
     front: std::net::SocketAddr,
     agent: std::net::SocketAddr,
+    _reserved: [Reserved; 2],
 }
 
 impl Drop for Served {
@@ -122,23 +126,19 @@
     }
 }
 
-/// Ports on an address that nothing else on the machine uses.
-fn free(ip: &str) -> std::net::SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
-}
-
 impl Served {
     fn start(name: &str, ip: &str, more: &str) -> Served {
         let dir = std::env::temp_dir().join(format!("tallypin-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
-        let (front, agent) = (free(ip), free(ip));
+        let reserved = [Reserved::on(ip).unwrap(), Reserved::on(ip).unwrap()];
+        let [front, agent] = [reserved[0].at, reserved[1].at];
         let (config, settings) = (dir.join("config.json"), dir.join("t.conf"));
         std::fs::write(&config, include_str!("../../examples/config.json")).unwrap();
         std::fs::write(&settings, Served::settings(agent, &dir, more)).unwrap();
         let mut serve = tallypin();
         serve.arg("serve").arg("--settings").arg(&settings).env("PROXY_CONFIG", &config);
         serve.env("PROXY_LISTEN", front.to_string()).env("PROXY_DISCOVERY", "127.0.0.1:9");
-        let served = Served { child: serve.spawn().unwrap(), dir, front, agent };
+        let served = Served { child: serve.spawn().unwrap(), dir, front, agent, _reserved: reserved };
         while TcpStream::connect(front).is_err() {
             std::thread::yield_now();
         }
@@ -180,7 +180,8 @@
     write("checks {\n agant {\n");
     served.signal("-HUP");
     assert!(told("`agant` is not known in section `checks`").contains("configuration kept as it was"));
-    let moved = free("127.2.0.2");
+    let reserved = Reserved::on("127.2.0.2").unwrap();
+    let moved = reserved.at;
     let more = "log {\n level debug\n queue 99\n}\n";
     write(&Served::settings(moved, &served.dir, more));
     served.signal("-HUP");
--- a/standin/src/park.rs
+++ b/standin/src/park.rs
@@ -8,9 +8,30 @@
 use std::thread;
 use std::time::Duration;
 
+use tokio::net::TcpSocket;
+
 /// A watch that has nothing to tell gives a sign of life so often.
 const SIGN: Duration = Duration::from_millis(300);
 
+/// An address that the system picks and gives nobody else while this lives. It is bound and never listens, so a process
+/// can still listen there; a listener that was closed in time could not be told from one: a child that another thread is
+/// just starting holds it open until it runs its program.
+pub struct Reserved {
+    /// Where.
+    pub at: SocketAddr,
+    _bound: TcpSocket,
+}
+
+impl Reserved {
+    /// On this IP.
+    pub fn on(ip: &str) -> std::io::Result<Reserved> {
+        let bound = TcpSocket::new_v4()?;
+        bound.set_reuseaddr(true)?;
+        bound.bind(SocketAddr::new(ip.parse().map_err(std::io::Error::other)?, 0))?;
+        Ok(Reserved { at: bound.local_addr()?, _bound: bound })
+    }
+}
+
 /// What a model node does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Does {
