--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,8 +54,9 @@
 const LEAST_HOMES: f64 = 2.0;
 /// Homes per replica's worth of a beginning's traffic.
 const HOMES_PER_SHARE: f64 = 5.0;
-/// A beginning's share of the traffic is believed for a half after so many requests.
-const SHARE_DOUBT: f64 = 50.0;
+/// A beginning's share of the traffic is believed for a half after so many requests: enough to tell one of a
+/// twentieth, a node's worth times five in a hundred, to within a third of itself.
+const SHARE_DOUBT: f64 = 150.0;
 /// Tokens read per second before any sample says otherwise.
 const READ_PER_S: f64 = 10_000.0;
 /// A replica of another zone is a home e times less likely for each so much of the price of crossing.
