--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,7 +28,7 @@
 /// The least share of a tenant's quota that a gateway claims, as a part of an even split.
 pub(crate) const FOOT: f64 = 0.25;
 /// Bounds of the report period, s.
-const PERIOD_S: (f64, f64) = (0.25, 8.0);
+const PERIOD_S: (f64, f64) = (0.25, 16.0);
 /// Weight of a new sample in the smoothed hit rates. Counts of one period are small and thus noisy.
 pub(crate) const RATE_WEIGHT: f64 = 0.25;
 /// A peer silent for so many periods is forecast at half, and half again each period.
@@ -46,8 +46,6 @@
 /// newer samples have half of it, however few they are: with many gateways each has one in a second or two.
 pub(crate) const FLEET_WEIGHT: f64 = 0.04;
 pub(crate) const FLEET_HALF_S: f64 = 3.0;
-/// A smoothed wait loses half of its distance to the fleet's in this time, s: old news is no news.
-const STALE_HALF_S: f64 = 4.0;
 /// Replicas drawn at random for a pick, beside the likely holders of the prompt.
 const SAMPLED: usize = 4;
 /// The fewest homes of a beginning, so that one slow home does not hold it up.
@@ -474,8 +472,7 @@
         if r.sampled_at == 0 {
             return self.fleet.peak.max(r.wait);
         }
-        let age = now.saturating_sub(r.sampled_at) as f64 / SECOND as f64;
-        self.fleet.wait + (r.wait - self.fleet.wait) * (-age / STALE_HALF_S).exp2()
+        self.fleet.wait + (r.wait - self.fleet.wait) * fresh(now, r.sampled_at)
     }
 
     /// Nanoseconds to read a prompt token, fitted to the own first tokens.
@@ -586,7 +583,10 @@
             let base = smoothed * f64::from(1 + c.open);
             let read = (unread + backlog) * per_token / self.fleet.speed(c.row.kind);
             // What queues everywhere queues less at one just started, the less it is sent of what it can do.
-            let queue = self.fleet.wait.min(smoothed) * self.warmth(now, c);
+            // One not met lately queues by as much more or less as its kind does.
+            let kind =
+                (self.fleet.wait_of(now, c.row.kind) - self.fleet.wait) * (1.0 - fresh(now, c.sampled_at));
+            let queue = (self.fleet.wait.min(smoothed) + kind).max(0.0) * self.warmth(now, c);
             let queued = estimate::queued(queue, aim);
             // What has waited longest without a token tells the least that the next one may wait.
             let oldest = c.waiting.first().map_or(0.0, |&t| now.saturating_sub(t) as f64);
@@ -864,7 +864,8 @@
         r.wait = if fresh { wait } else { base + WAIT_WEIGHT * (wait - base) };
         r.crowd = if fresh { crowd } else { r.crowd + WAIT_WEIGHT * (crowd - r.crowd) };
         r.sampled_at = now;
-        self.fleet.note_wait(now, wait, crowd);
+        let kind = r.row.kind;
+        self.fleet.note_wait(now, kind, wait, crowd);
     }
 
     fn on_ended(&mut self, now: Nanos, e: Ended, out: &mut Vec<Action>) {
@@ -872,7 +873,7 @@
         let Some(o) = self.open.get_mut(&id) else { return };
         let Some(a) = o.attempts.get_mut(e.attempt as usize).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
-        let (i, sent, first, guess, kind) = (a.replica, a.sent, a.first, a.unread, a.row.kind as usize);
+        let (i, sent, first, guess, kind) = (a.replica, a.sent, a.first, a.unread, a.row.kind);
         let (started, prompt, prefix) = (o.started, o.request.prompt_tokens, o.request.prefix_tokens);
         // What became of an earlier life's attempts tells nothing of this one: above all not that it is ill.
         let same = a.row.last_start == self.replicas[i].row.last_start;
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,8 @@
 use crate::stats::{Fit, Recent};
 use smallvec::SmallVec;
 
+/// A smoothed wait loses half of its distance to the fleet's in this time, s.
+const STALE_HALF_S: f64 = 4.0;
 /// The least weight of a new sample in the pace of streams: answers differ much in length.
 const PACE_WEIGHT: f64 = 0.02;
 /// A kind of machine is taken to be as fast as all by the weight of so many of its streams. Kinds differ by about a third,
@@ -165,11 +167,21 @@
     pub(crate) fit: Fit,
     /// Requests.
     pub(crate) traffic: Recent,
-    /// Smoothed seconds of a stream after its first token, of so many streams, and by kind of machine as multiples of it:
-    /// 1 until streams say otherwise.
+    /// Smoothed seconds of a stream after its first token, over so many streams.
     pub(crate) mean_pace: f64,
     paces: u32,
-    pub(crate) pace: Vec<(f64, f64)>,
+    /// By kind of machine.
+    kinds: Vec<Kind>,
+}
+
+/// How much of a smoothed wait's distance to the fleet's still holds, 1 to 0: old news is no news. 0: never sampled.
+pub(crate) fn fresh(now: Nanos, sampled_at: Nanos) -> f64 {
+    let age = now.saturating_sub(sampled_at) as f64 / SECOND as f64;
+    if sampled_at == 0 {
+        0.0
+    } else {
+        (-age / STALE_HALF_S).exp2()
+    }
 }
 
 /// The weight of a sample, as of now, after another at `last`: of its time, as samples may be few, but not under the
@@ -179,24 +191,48 @@
     (1.0 - (-dt / FLEET_HALF_S).exp2()).max(FLEET_WEIGHT)
 }
 
+fn smooth(x: &mut f64, sample: f64, weight: f64) {
+    *x += weight * (sample - *x);
+}
+
 impl Fleet {
     /// Of a gateway that has just started, before any sample.
     pub(crate) fn begin(strain: f64) -> Fleet {
         Fleet { strain, ..Fleet::default() }
     }
 
-    /// A first token's wait without the reading of its prompt, ns, in so large a crowd.
-    pub(crate) fn note_wait(&mut self, now: Nanos, wait: f64, crowd: f64) {
-        let weight = weight(now, &mut self.sampled_at);
-        let weight = if self.wait == 0.0 { 1.0 } else { weight };
-        self.wait += weight * (wait - self.wait);
-        self.crowd += weight * (crowd - self.crowd);
+    /// A first token's wait without the reading of its prompt, ns, at a kind of machine, in so large a crowd.
+    pub(crate) fn note_wait(&mut self, now: Nanos, kind: u32, wait: f64, crowd: f64) {
+        let some = self.sampled_at > 0;
+        let w = weight(now, &mut self.sampled_at);
+        smooth(&mut self.wait, wait, if some { w } else { 1.0 });
+        smooth(&mut self.crowd, crowd, w);
+        if let Some(k) = self.kind(kind) {
+            let some = k.waited_at > 0;
+            let w = weight(now, &mut k.waited_at);
+            smooth(&mut k.wait, wait, if some { w } else { 1.0 });
+        }
+    }
+
+    /// What first tokens wait for at a kind of machine, without the reading of their prompts, ns, as far as its last one is
+    /// news: a kind that is avoided has none, and would be for good.
+    pub(crate) fn wait_of(&self, now: Nanos, kind: u32) -> f64 {
+        let kind = self.kinds.get(kind as usize).copied().unwrap_or_default();
+        self.wait + (kind.wait - self.wait) * fresh(now, kind.waited_at)
+    }
+
+    fn kind(&mut self, kind: u32) -> Option<&mut Kind> {
+        let kind = kind as usize;
+        if kind < MOST_KINDS && self.kinds.len() <= kind {
+            self.kinds.resize(kind + 1, Kind::default());
+        }
+        self.kinds.get_mut(kind)
     }
 
     /// A first token came after so many aims.
     pub(crate) fn note_taken(&mut self, now: Nanos, aims: f64) {
         let weight = weight(now, &mut self.strained_at);
-        self.strain += weight * (aims - self.strain);
+        smooth(&mut self.strain, aims, weight);
     }
 
     /// The strain, as far as its last sample still says something: where nothing is begun for it, nothing is sampled, and
@@ -238,26 +274,37 @@
         }
     }
 
-    pub(crate) fn note_pace(&mut self, kind: usize, seconds: f64) {
-        if kind < MOST_KINDS && self.pace.len() <= kind {
-            self.pace.resize(kind + 1, (1.0, KIND_PRIOR));
-        }
+    pub(crate) fn note_pace(&mut self, kind: u32, seconds: f64) {
         self.paces = self.paces.saturating_add(1);
-        let weight = PACE_WEIGHT.max(1.0 / f64::from(self.paces));
-        self.mean_pace += weight * (seconds - self.mean_pace);
+        smooth(&mut self.mean_pace, seconds, PACE_WEIGHT.max(1.0 / f64::from(self.paces)));
         let times = if self.mean_pace > 0.0 { seconds / self.mean_pace } else { 1.0 };
-        if let Some((pace, seen)) = self.pace.get_mut(kind) {
-            *seen += 1.0;
-            *pace += PACE_WEIGHT.max(1.0 / *seen) * (times - *pace);
+        if let Some(k) = self.kind(kind) {
+            k.streams += 1.0;
+            smooth(&mut k.pace, times, PACE_WEIGHT.max(1.0 / k.streams));
         }
     }
 
     /// How fast a kind of machine is seen to be, against the mean of all streams.
     pub(crate) fn speed(&self, kind: u32) -> f64 {
-        match self.pace.get(kind as usize) {
-            Some(&(pace, _)) => (1.0 / pace).clamp(0.25, 4.0),
-            None => 1.0,
-        }
+        self.kinds.get(kind as usize).map_or(1.0, |k| (1.0 / k.pace).clamp(0.25, 4.0))
+    }
+}
+
+/// What is seen of a kind of machine.
+#[derive(Clone, Copy)]
+struct Kind {
+    /// Smoothed length of its streams after the first token, as a multiple of all streams' mean, and how many they were,
+    /// the prior among them.
+    pace: f64,
+    streams: f64,
+    /// Smoothed wait, ns, and when it was last sampled.
+    wait: f64,
+    waited_at: Nanos,
+}
+
+impl Default for Kind {
+    fn default() -> Kind {
+        Kind { pace: 1.0, streams: KIND_PRIOR, wait: 0.0, waited_at: 0 }
     }
 }
 
@@ -276,11 +323,11 @@
     /// After so many samples a second each, of 1 where there was nothing: what the gateway believes.
     fn believed(samples: u64, per_s: u64) -> (f64, f64) {
         let mut fleet = Fleet::begin(0.0);
-        fleet.note_wait(SECOND, 1e-9, 1.0);
+        fleet.note_wait(SECOND, 0, 1e-9, 1.0);
         fleet.note_taken(SECOND, 0.0);
         for k in 1..=samples {
             let now = SECOND + k * SECOND / per_s;
-            fleet.note_wait(now, 1.0, 1.0);
+            fleet.note_wait(now, 0, 1.0, 1.0);
             fleet.note_taken(now, 1.0);
         }
         (fleet.wait, fleet.strain)
--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -85,6 +85,29 @@
     assert!(agreed > 30 * 40 * 9 / 10, "{agreed} of 1200 turns go where most of the session's would go");
 }
 
+/// Guards against kinds that run over beside others that idle: of hundreds of gateways each meets a given node once in a
+/// minute or two, but a kind of them often enough.
+#[test]
+fn a_kind_that_queues_is_passed_over_at_nodes_not_met_yet() {
+    let kinds = |n| ReplicaRow { kind: (n % 2) as u32, ..row(n) };
+    let mut set = settings(300, 0);
+    set.cross_zone_price = 0.0;
+    let mut w = World::new(set, 3);
+    w.list(ListKind::Cached, (0..100).map(kinds).collect());
+    let mut idle = 0;
+    for n in 0..40 {
+        w.run_to(w.now + 500 * MS);
+        let session = Some(SessionKey(n * 31 + 7));
+        let r = Request { session, prefix: Some(PrefixKey(n % 5)), prompt_tokens: 1_000, ..request(n) };
+        let to = World::sent_to(&w.demand(r)).expect("sent");
+        w.run_to(w.now + if to.0 % 2 == 0 { 800 } else { 20 } * MS);
+        w.first(RequestId(n), 0);
+        w.end(RequestId(n), 0, Outcome::Done);
+        idle += usize::from(n >= 20 && to.0 % 2 == 1);
+    }
+    assert!(idle >= 18, "{idle} of 20 sessions, each with a home of its own, go to the kind that idles");
+}
+
 #[test]
 fn a_holder_that_started_again_holds_nothing() {
     let (mut w, home, other) = moved();
