--- a/src/state.rs
+++ b/src/state.rs
@@ -341,6 +341,30 @@
         assert!(wait < 0.25 && strain < 0.25, "five in a moment may be chance: {wait:.2}, {strain:.2}");
     }
 
+    #[test]
+    fn a_kind_is_as_fast_as_all_until_its_streams_say_otherwise() {
+        let mut fleet = Fleet::begin(0.0);
+        (0..50).for_each(|_| fleet.note_pace(0, 1.0));
+        fleet.note_pace(1, 10.0);
+        assert!((0.5..1.0).contains(&fleet.speed(1)), "one long stream: {}", fleet.speed(1));
+        (0..400).for_each(|n| fleet.note_pace(n % 2, f64::from(1 + n % 2)));
+        let times = fleet.speed(0) / fleet.speed(1);
+        assert!((1.8..2.2).contains(&times), "{times} times as fast, seen often");
+        assert_eq!(fleet.speed(7), 1.0, "never seen");
+    }
+
+    /// Guards against a kind that is avoided for good: whoever gets nothing has no samples that would say better.
+    #[test]
+    fn what_is_known_of_a_kind_fades_to_what_all_wait_for() {
+        let mut fleet = Fleet::begin(0.0);
+        assert_eq!(fleet.wait_of(SECOND, 1), 0.0);
+        (1..=20).for_each(|n| fleet.note_wait(n * SECOND, 1, 1e9, 1.0));
+        (21..=40).for_each(|n| fleet.note_wait(n * SECOND, 0, 0.0, 1.0));
+        assert_eq!(fleet.wait_of(40 * SECOND, 9), fleet.wait, "never sampled");
+        let (then, now) = (fleet.wait_of(20 * SECOND, 1), fleet.wait_of(44 * SECOND, 1));
+        assert!(then > 0.9e9 && now < 0.1e9, "{then}, 24 s later {now}");
+    }
+
     #[test]
     fn the_flow_is_known_from_the_start_and_the_first_ticks_are_averaged() {
         let mut fleet = Fleet::begin(0.0);
--- a/tests/estimate.rs
+++ b/tests/estimate.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs)]
 
 use proptest::prelude::*;
-use tallypin::estimate::{believed, ranked, warmth, Pace};
+use tallypin::estimate::{believed, queued, ranked, warmth, Pace};
 
 const AIM: f64 = 1.2e9;
 
@@ -19,6 +19,14 @@
         prop_assert!((before / after - 1.0).abs() < 1e-9);
     }
 
+    /// All times scaled by one factor: the rank and the queue in it scale with them, so whoever was first stays so.
+    #[test]
+    fn a_rank_has_no_time_of_its_own(wait in 1e6f64..1e9, aim in 1e8f64..1e10, open in 0u32..50, by in 1.0f64..50.0) {
+        let times = ranked(wait * by, aim * by, open) / ranked(wait, aim, open);
+        let off = queued(wait * by, aim * by) - by * queued(wait, aim);
+        prop_assert!((times / by - 1.0).abs() < 1e-9 && off.abs() < 1e-6 * aim, "{} times, {} off", times, off);
+    }
+
     /// However far off the samples are, their influence is bounded: ten times as slow is less than twice.
     #[test]
     fn samples_have_a_bounded_influence(wait in 1e6f64..1e10, off in 1.0f64..10.0) {
