--- a/src/state.rs
+++ b/src/state.rs
@@ -195,6 +195,14 @@
     *x += weight * (sample - *x);
 }
 
+/// A sample of what was last sampled at `last`, believed whole if it is the first; the weight it has by its time.
+fn note(now: Nanos, x: &mut f64, last: &mut Nanos, sample: f64) -> f64 {
+    let first = *last == 0;
+    let weight = weight(now, last);
+    smooth(x, sample, if first { 1.0 } else { weight });
+    weight
+}
+
 impl Fleet {
     /// Of a gateway that has just started, before any sample.
     pub(crate) fn begin(strain: f64) -> Fleet {
@@ -203,14 +211,10 @@
 
     /// A first token's wait without the reading of its prompt, ns, at a kind of machine, in so large a crowd.
     pub(crate) fn note_wait(&mut self, now: Nanos, kind: u32, wait: f64, crowd: f64) {
-        let some = self.sampled_at > 0;
-        let w = weight(now, &mut self.sampled_at);
-        smooth(&mut self.wait, wait, if some { w } else { 1.0 });
-        smooth(&mut self.crowd, crowd, w);
+        let weight = note(now, &mut self.wait, &mut self.sampled_at, wait);
+        smooth(&mut self.crowd, crowd, weight);
         if let Some(k) = self.kind(kind) {
-            let some = k.waited_at > 0;
-            let w = weight(now, &mut k.waited_at);
-            smooth(&mut k.wait, wait, if some { w } else { 1.0 });
+            note(now, &mut k.wait, &mut k.waited_at, wait);
         }
     }
 
