--- /dev/null
+++ b/router/src/fleet/plan/tests.rs
@@ -0,0 +1,30 @@
+
+use super::*;
+
+fn said(text: &str) -> Result<Said, String> {
+    let get = |_: &Path| Ok(text.to_string());
+    read("p.conf".as_ref(), &get).map_err(|p| p.to_string())
+}
+
+#[test]
+fn a_plan_is_read_and_what_is_wrong_is_told_with_its_line_and_word() {
+    let digest = "a".repeat(64);
+    let good =
+        format!("release {{\n what settings\n digest {digest}\n wave r0\n wave zone a\n failed 0.5%\n}}\n");
+    let plan = said(&good).unwrap();
+    assert_eq!((plan.waves.len(), plan.plan.failed_most, plan.plan.watch_ms), (2, 5, 60_000));
+    assert_eq!(plan.waves[1], ["zone", "a"]);
+    for (from, to, why) in [
+        ("what settings", "what else", "2:"),
+        (digest.as_str(), "abc", "64 hex digits"),
+        ("wave r0", "wafe r0", "did you mean `wave`"),
+        ("failed 0.5%", "failed half", "6:"),
+        ("digest", "file nowhere\n digest", "either `file` or `digest`"),
+        ("release", "realease", "release"),
+    ] {
+        let told = said(&good.replacen(from, to, 1)).unwrap_err();
+        assert!(told.contains(why), "{to}: {told}");
+    }
+    let missing = good.replace(&format!("digest {digest}"), "file nowhere-at-all");
+    assert!(said(&missing).unwrap_err().contains("nowhere-at-all"));
+}
--- a/router/src/fleet/settings.rs
+++ b/router/src/fleet/settings.rs
@@ -286,33 +286,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn bounds_are_rounded_as_stated() {
-        assert_eq!(bound("10%", 300, false), Ok(30));
-        assert_eq!(bound("10%", 19, false), Ok(1));
-        assert_eq!(bound("2", 5, false), Ok(2));
-        for (word, of, why) in [
-            ("10%", 5, "10% of 5 is none"),
-            ("0", 5, "let nobody out"),
-            ("5", 5, "nobody would serve"),
-            ("100%", 3, "nobody would serve"),
-            ("-1", 5, "wants a number"),
-            ("0%", 5, "a share is 1% to 100%"),
-            ("many", 5, "wants a number"),
-        ] {
-            assert!(
-                bound(word, of, false).unwrap_err().contains(why),
-                "{word} of {of}: {:?}",
-                bound(word, of, false)
-            );
-        }
-        assert_eq!(bound("2", 2, true), Ok(2));
-        assert_eq!((node_bound("10%"), node_bound("2")), (Ok(Most::Share(10)), Ok(Most::Number(2))));
-        for word in ["0", "0%", "100%", "+3", "many", ""] {
-            assert!(node_bound(word).is_err(), "{word}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/router/src/list_clock/tests.rs
@@ -0,0 +1,69 @@
+
+use super::*;
+use proptest::prelude::*;
+use tallypin::api::SECOND;
+
+const MS: Nanos = SECOND / 1000;
+const PUSHED: Terms = Terms {
+    answer: Some(Duration::from_millis(250)),
+    silence: Duration::from_secs(4),
+    again: Some(Duration::from_millis(200)),
+};
+
+/// What an agent does over time: silent in outages, else it answers at once and gives a sign every 2 s to watches
+/// that have not fallen silent. Gives the longest time in which the agent spoke and no watch of it stood.
+fn longest_deaf(outages: &[(Nanos, Nanos)], mute: &[Nanos], end: Nanos) -> Nanos {
+    let clock = ListClock::new(PUSHED);
+    let down = |t: Nanos| outages.iter().any(|&(from, to)| (from..to).contains(&t));
+    let (mut watch_mute, mut deaf, mut longest) = (true, 0, 0);
+    clock.wanted(0);
+    for t in (0..end).step_by(MS as usize) {
+        watch_mute |= mute.contains(&t) || down(t);
+        match clock.step(t) {
+            Step::Open => {
+                clock.opened(t);
+                watch_mute = down(t);
+                if !watch_mute {
+                    clock.heard(t);
+                }
+            }
+            Step::Broken => clock.lost(t),
+            Step::Wait(_) => {}
+        }
+        if !watch_mute && t % (2 * SECOND) == 0 {
+            clock.heard(t);
+        }
+        deaf = if watch_mute && !down(t) { deaf + MS } else { 0 };
+        longest = longest.max(deaf);
+    }
+    longest
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    /// After an outage that outlasts a watch the agent is heard again before any drain has to be, and a watch
+    /// that falls silent is replaced before what it misses counts as told, 6 s after.
+    #[test]
+    fn an_agent_is_not_unheard_for_long(from in 1u64..8_000, long in 4_001u64..15_000, mute in 0u64..30_000) {
+        let outage = [(from * MS, (from + long) * MS)];
+        let after_outage = longest_deaf(&outage, &[], 30 * SECOND);
+        prop_assert!(after_outage <= 451 * MS, "{} ms after an outage", after_outage / MS);
+        let silent = longest_deaf(&[], &[mute * MS], 40 * SECOND);
+        prop_assert!(silent <= 4_202 * MS, "{} ms", silent / MS);
+    }
+}
+
+#[test]
+fn where_the_list_is_asked_for_the_wish_decides_when() {
+    let clock = ListClock::new(Terms { answer: None, again: None, ..PUSHED });
+    assert_eq!(clock.step(0), Step::Wait(None));
+    clock.wanted(5);
+    assert_eq!(clock.step(5), Step::Open);
+    clock.opened(5);
+    assert_eq!(clock.step(SECOND * 60), Step::Wait(None), "who wished for it wishes again");
+    clock.heard(SECOND);
+    assert_eq!(clock.step(SECOND), Step::Wait(Some(5 * SECOND)));
+    assert_eq!(clock.step(5 * SECOND), Step::Broken);
+    clock.lost(5 * SECOND);
+    assert_eq!(clock.step(60 * SECOND), Step::Wait(None), "a budget of calls is not spent here");
+}
--- /dev/null
+++ b/src/kept/tests.rs
@@ -0,0 +1,45 @@
+
+use super::*;
+use proptest::prelude::*;
+
+fn row(id: u64, last_start: Nanos) -> ReplicaRow {
+    ReplicaRow { replica: ReplicaId(id), last_start, ..ReplicaRow::default() }
+}
+
+#[test]
+fn a_holder_is_one_life_of_a_replica() {
+    let mut sessions = Sessions::default();
+    sessions.note(0, 1, &row(7, 5), 100);
+    let holder = sessions.holder(SECOND, 1).expect("noted");
+    assert!(holder.is(&row(7, 5), None) && holder.is(&row(7, 5), Some(0)));
+    assert!(!holder.is(&row(7, 6), None), "another life has kept nothing");
+    assert!(!holder.is(&row(7, 5), Some(1)), "it may have started anew since");
+    assert!(!holder.is(&row(8, 5), None));
+    assert_eq!(sessions.holder(SECOND, 2), None);
+    assert_eq!(sessions.holder(FORGOTTEN, 1), None, "long ago");
+}
+
+#[test]
+fn the_table_is_bounded_and_keeps_whoever_has_turns() {
+    let mut sessions = Sessions::default();
+    for s in 0..3 * MOST_SESSIONS as u64 {
+        sessions.note(0, s, &row(1, 0), 1);
+        sessions.note(0, u64::MAX, &row(2, 0), 2);
+        assert!(sessions.young.len() + sessions.old.len() <= MOST_SESSIONS);
+    }
+    assert!(sessions.holder(0, u64::MAX).is_some_and(|h| h.is(&row(2, 0), None)));
+    assert_eq!(sessions.holder(0, 0), None, "the oldest are gone");
+    assert!(sessions.holder(0, 3 * MOST_SESSIONS as u64 - 1).is_some());
+}
+
+proptest! {
+    #[test]
+    fn a_replica_refills_from_nothing_to_what_it_keeps_when_warm(
+        prompt in 0.0f64..1e5, part in 0.0f64..1.0, age in 0u64..100 * SECOND, later in 0u64..100 * SECOND,
+    ) {
+        let warm = prompt * part;
+        prop_assert!((refilling(warm, prompt, 0) - prompt).abs() < 1e-6);
+        let (now, then) = (refilling(warm, prompt, age), refilling(warm, prompt, age + later));
+        prop_assert!(warm <= then && then <= now + 1e-6 && now <= prompt + 1e-6);
+    }
+}
--- /dev/null
+++ b/src/membership/tests.rs
@@ -0,0 +1,73 @@
+
+use super::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn holders(m: &Membership, key: u64) -> Vec<usize> {
+    let mut found = Vec::new();
+    m.about(key, |i| found.push(i));
+    found
+}
+
+fn fleet(n: usize) -> Membership {
+    let mut m = Membership::default();
+    (0..n).for_each(|i| m.add(i, mix(i as u64, 1), i % 3 != 0));
+    m
+}
+
+proptest! {
+    /// Whatever comes and goes, in whatever order: the same as a set holds.
+    #[test]
+    fn members_are_a_set(changes in proptest::collection::vec((any::<bool>(), 0usize..40), 0..200)) {
+        let (mut members, mut set) = (Members::default(), BTreeSet::new());
+        for (add, place) in changes {
+            let changed = if add { members.add(place) } else { members.remove(place) };
+            prop_assert_eq!(changed, if add { set.insert(place) } else { set.remove(&place) });
+            let mut all = members.all().to_vec();
+            all.sort_unstable();
+            prop_assert!(all.iter().eq(set.iter()));
+        }
+    }
+
+    /// One more moves a key's candidates by itself and the one it takes the place of; gone again, all is as before.
+    #[test]
+    fn one_that_comes_or_goes_moves_little(n in SCANNED + 1..2_000, key in any::<u64>(), far in any::<bool>()) {
+        let mut m = fleet(n);
+        let before: BTreeSet<usize> = holders(&m, key).into_iter().collect();
+        m.add(n, mix(n as u64, 1), far);
+        let with: BTreeSet<usize> = holders(&m, key).into_iter().collect();
+        prop_assert!(before.difference(&with).count() <= 1 && with.difference(&before).count() <= 1);
+        m.remove(n, mix(n as u64, 1), far);
+        prop_assert!(holders(&m, key).into_iter().eq(holders(&fleet(n), key)));
+    }
+}
+
+#[test]
+fn small_fleets_are_looked_at_whole_and_large_ones_about_the_key() {
+    assert_eq!(holders(&fleet(SCANNED), 5).len(), SCANNED);
+    let large = holders(&fleet(5_000), 5);
+    assert_eq!(large.len(), 2 * FOLLOWING);
+    let near = large.iter().filter(|&&i| i % 3 == 0).count();
+    assert_eq!(near, FOLLOWING, "of the own zone as many, however few they are");
+    let one_zone = (0..1000).fold(Membership::default(), |mut m, i| {
+        m.add(i, mix(i as u64, 1), false);
+        m
+    });
+    assert_eq!(holders(&one_zone, u64::MAX).len(), FOLLOWING, "past the end it goes on at the beginning");
+}
+
+#[test]
+fn keys_spread_over_a_large_fleet() {
+    let m = fleet(3_000);
+    let mut held: BTreeMap<usize, u32> = BTreeMap::new();
+    for key in 0..20_000u64 {
+        holders(&m, mix(key, 2)).into_iter().for_each(|i| *held.entry(i).or_default() += 1);
+    }
+    // A third of the fleet is of the own zone and is half of the candidates: 960 keys each, the others 480.
+    for (&i, &n) in &held {
+        let mean = if i % 3 == 0 { 960.0 } else { 480.0 };
+        let share = f64::from(n) / mean;
+        assert!((0.4..1.8).contains(&share), "{i} holds {share:.2} of an even part");
+    }
+    assert_eq!(held.len(), 3_000);
+}
--- /dev/null
+++ b/src/state/tests.rs
@@ -0,0 +1,62 @@
+
+use super::*;
+
+/// After so many samples a second each, of 1 where there was nothing: what the gateway believes.
+fn believed(samples: u64, per_s: u64) -> (f64, f64) {
+    let mut fleet = Fleet::begin(0.0);
+    fleet.note_wait(SECOND, 0, 1e-9, 1.0);
+    fleet.note_taken(SECOND, 0.0);
+    for k in 1..=samples {
+        let now = SECOND + k * SECOND / per_s;
+        fleet.note_wait(now, 0, 1.0, 1.0);
+        fleet.note_taken(now, 1.0);
+    }
+    (fleet.wait, fleet.strain)
+}
+
+#[test]
+fn what_all_see_is_believed_after_its_time_however_few_the_samples() {
+    let (wait, strain) = believed(5, 1);
+    assert!(wait > 0.6 && strain > 0.6, "{wait:.2} and {strain:.2} after 5 samples in 5 s");
+    let (wait, strain) = believed(5, 100);
+    assert!(wait < 0.25 && strain < 0.25, "five in a moment may be chance: {wait:.2}, {strain:.2}");
+}
+
+#[test]
+fn a_kind_is_as_fast_as_all_until_its_streams_say_otherwise() {
+    let mut fleet = Fleet::begin(0.0);
+    (0..50).for_each(|_| fleet.note_pace(0, 1.0));
+    fleet.note_pace(1, 10.0);
+    assert!((0.5..1.0).contains(&fleet.speed(1)), "one long stream: {}", fleet.speed(1));
+    (0..400).for_each(|n| fleet.note_pace(n % 2, f64::from(1 + n % 2)));
+    let times = fleet.speed(0) / fleet.speed(1);
+    assert!((1.8..2.2).contains(&times), "{times} times as fast, seen often");
+    assert_eq!(fleet.speed(7), 1.0, "never seen");
+}
+
+/// Guards against a kind that is avoided for good: whoever gets nothing has no samples that would say better.
+#[test]
+fn what_is_known_of_a_kind_fades_to_what_all_wait_for() {
+    let mut fleet = Fleet::begin(0.0);
+    assert_eq!(fleet.wait_of(SECOND, 1), 0.0);
+    (1..=20).for_each(|n| fleet.note_wait(n * SECOND, 1, 1e9, 1.0));
+    (21..=40).for_each(|n| fleet.note_wait(n * SECOND, 0, 0.0, 1.0));
+    assert_eq!(fleet.wait_of(40 * SECOND, 9), fleet.wait, "never sampled");
+    let (then, now) = (fleet.wait_of(20 * SECOND, 1), fleet.wait_of(44 * SECOND, 1));
+    assert!(then > 0.9e9 && now < 0.1e9, "{then}, 24 s later {now}");
+}
+
+#[test]
+fn the_flow_is_known_from_the_start_and_the_first_ticks_are_averaged() {
+    let mut fleet = Fleet::begin(0.0);
+    for _ in 0..3 {
+        fleet.sends = 10;
+        let flow = fleet.flow(5 * SECOND);
+        assert!((flow - 2.0).abs() < 1e-9, "{flow} before the tick");
+        fleet.note_flow(5.0);
+        let flow = fleet.flow(0);
+        assert!((flow - 2.0).abs() < 1e-9, "{flow} after it");
+    }
+    fleet.sends = 1000;
+    assert!((fleet.flow(SECOND) - 2.0).abs() < 1e-9, "a burst counts from the next tick on");
+}
