Cut the node list by its braces: a piece that ended within a number lost the watch

Ruled out: calls that wait too long. The lost watch was asked for again 0.4 to 1.2 s later, and the answers of the service were in time.

Cause: node_list.rs::whole parsed what had come and took every error but end-of-input for a malformed list. serde_json tells an ignored number that ends after its point ("weight":1.) as an invalid number, so a list cut there was thrown away. Checked apart: of all cuts of one object just that one.

Change: router/src/pages.rs finds the end of an object by its braces, each byte looked at once, and only whole objects are parsed. The test cuts a list at each byte and byte by byte.

--- a/accord/src/document/tests.rs
+++ b/accord/src/document/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn bounds() -> Bounds {
--- a/accord/src/nodes/tests.rs
+++ b/accord/src/nodes/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn seen(out: &[&str]) -> BTreeMap<String, NodeSeen> {
--- a/accord/src/register/tests.rs
+++ b/accord/src/register/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 type Members = Vec<Keeper<u64>>;
--- a/accord/src/watch/tests.rs
+++ b/accord/src/watch/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::document::View;
 
--- a/lab/src/draw/tests.rs
+++ b/lab/src/draw/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use rand::RngCore;
 
--- a/lab/src/file/tests.rs
+++ b/lab/src/file/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const SMALL: &str = "
--- a/lab/src/kept/tests.rs
+++ b/lab/src/kept/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use proptest::prelude::*;
 
--- a/router/src/by_hand/tests.rs
+++ b/router/src/by_hand/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn row(id: u64, state: ReplicaState, last_start: Nanos) -> ReplicaRow {
--- a/router/src/fleet/files/tests.rs
+++ b/router/src/fleet/files/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn place(test: &str) -> Released {
--- a/router/src/fleet/plan/tests.rs
+++ b/router/src/fleet/plan/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn said(text: &str) -> Result<Said, String> {
--- a/router/src/fleet/wire/tests.rs
+++ b/router/src/fleet/wire/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const KEY: &str = "a key of sixteen bytes and more";
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod node;
 pub mod node_list;
 pub mod outward;
+pub mod pages;
 pub mod peers;
 pub mod probe;
 pub mod reload;
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use serde::Deserialize;
 use tallypin::api::{ListKind, ListMode, Nanos, ReplicaRow, ReplicaState, ZoneId};
 use tallypin::names;
@@ -19,6 +19,7 @@
 use crate::host::Host;
 use crate::http::{Body, Framing, Head, Part, Start, Wire};
 use crate::list_clock::{ListClock, Step, Terms};
+use crate::pages::{NoObject, Pages};
 
 /// One object of the list: the whole of it, or what changed.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -251,24 +252,27 @@
     };
     place.clock.heard(host.clock.now());
     place.stands.notify_one();
-    let (mut body, mut held) = (Body::new(framing, limits.list_line as u64), BytesMut::new());
+    let (mut body, mut held) = (Body::new(framing, limits.list_line as u64), Pages::default());
     loop {
         match body.next(&mut wire.buf) {
             Ok(Some(Part::Bytes(data))) => {
                 host.list_heard();
                 place.clock.heard(host.clock.now());
-                held.extend_from_slice(&data);
+                held.push(&data);
                 loop {
-                    let page = match whole(&mut held) {
-                        Ok(Some(page)) => page,
+                    let page: Page = match held.take() {
+                        Ok(Some(object)) => match serde_json::from_slice(&object) {
+                            Ok(page) => page,
+                            Err(e) => return format!("malformed: {e}"),
+                        },
                         Ok(None) => break,
-                        Err(e) => return format!("malformed: {e}"),
+                        Err(NoObject) => return "malformed: no object".into(),
                     };
                     place.version.set(Some(page.version));
                     take(host, &page, if page.full { ListKind::Full } else { ListKind::Delta });
                     place.answered.notify_one();
                 }
-                if held.len() > limits.list_line {
+                if held.held() > limits.list_line {
                     return "object too long".into();
                 }
             }
@@ -282,23 +286,3 @@
         }
     }
 }
-
-/// Takes the first object off what has come, once it is whole. One may stand on a line, as the protocol has it, or be
-/// indented over many: where it ends, its braces say. Blank lines between objects are signs of life.
-pub fn whole(held: &mut BytesMut) -> Result<Option<Page>, serde_json::Error> {
-    let mut objects = serde_json::Deserializer::from_slice(held).into_iter();
-    match objects.next() {
-        Some(Ok(page)) => {
-            let end = objects.byte_offset();
-            drop(held.split_to(end));
-            Ok(Some(page))
-        }
-        // Begun, and not all there yet.
-        Some(Err(e)) if e.is_eof() => Ok(None),
-        Some(Err(e)) => Err(e),
-        None => {
-            held.clear();
-            Ok(None)
-        }
-    }
-}
--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -10,6 +10,7 @@
 use tallypin_router::installation::Installation;
 use tallypin_router::limits::Limits;
 use tallypin_router::node_list::Page;
+use tallypin_router::pages::{NoObject, Pages};
 
 #[test]
 fn heads() {
@@ -328,3 +329,43 @@
     first.reserve(&mut limits).unwrap();
     assert!(limits.clients >= 80, "{}", limits.clients);
 }
+
+/// All objects that come of these pieces, one after the other.
+fn pages(pieces: &[&[u8]]) -> Result<Vec<Page>, NoObject> {
+    let (mut held, mut all) = (Pages::default(), Vec::new());
+    for piece in pieces {
+        held.push(piece);
+        while let Some(object) = held.take()? {
+            all.push(serde_json::from_slice(&object).expect("whole"));
+        }
+    }
+    Ok(all)
+}
+
+/// Guards against a watch that is given up because a piece ended within a number: what it told would count as told.
+#[test]
+fn objects_of_the_list_in_pieces_of_any_size() {
+    let text = b"\n{\"version\":43,\"full\":true,\"servers\":[{\"id\":\"a}\\\"{\\\\\",\"addr\":\"127.0.0.1:1\",\"state\":\"active\",\"weight\":1.05e-3}]}\r\n\n \
+        {\n  \"version\": 44,\n  \"load\": -0.5,\n  \"servers\": [\n  ],\n  \"later\": {\"x\": []}\n}\n\n";
+    let whole = pages(&[text]).unwrap();
+    assert_eq!(whole.iter().map(|p| p.version).collect::<Vec<_>>(), [43, 44]);
+    assert_eq!(whole[0].servers[0].id, "a}\"{\\");
+    for cut in 0..text.len() {
+        let (front, back) = text.split_at(cut);
+        assert_eq!(pages(&[front, back]).as_ref(), Ok(&whole), "cut at {cut}");
+    }
+    let bytes: Vec<&[u8]> = text.chunks(1).collect();
+    assert_eq!(pages(&bytes), Ok(whole));
+    for (text, wanted) in [
+        ("", Ok(vec![])),
+        ("\n\r\n \n", Ok(vec![])),
+        ("{\"version\":", Ok(vec![])),
+        ("]", Err(NoObject)),
+        ("}", Err(NoObject)),
+    ] {
+        assert_eq!(pages(&[text.as_bytes()]), wanted, "{text:?}");
+    }
+    let mut blank = Pages::default();
+    blank.push(b"\n\n\n");
+    assert_eq!((blank.take(), blank.held()), (Ok(None), 0), "signs of life take no room");
+}
--- a/simhost/src/wire/tests.rs
+++ b/simhost/src/wire/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn event(line: &str) -> Result<Option<Event>, Malformed> {
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 /// After so many samples a second each, of 1 where there was nothing: what the gateway believes.
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -3,7 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-const TESTS: &str = "rules::one: test\ntwo: test\nthree: test\nfour: test\ntwice: test\ntwice: test\n\n6 tests\n";
+const TESTS: &str =
+    "rules::one: test\ntwo: test\nthree: test\nfour: test\ntwice: test\ntwice: test\n\n6 tests\n";
 
 /// What `.ci/known-red` makes of a list: whether it takes it, its words, and what it says.
 fn read(list: &str) -> (bool, String, String) {
