Bound the waits for the node list: a call and a wait stay below the 6 s that count as told

A new place of the list is asked again later each time (0.3 to 3 s, was each 0.15 s), so that hundreds of routers don't overrun it. The clock's test said that a call nobody answers is left to whoever wished for it; it now holds the clock to giving it up, which is stricter.

--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -162,6 +162,8 @@
     bodies: Rc<Cell<usize>>,
     /// The seed, and how many requests were given a name.
     named: (u64, Cell<u64>),
+    /// What chance decides beside the module.
+    rng: RefCell<fastrand::Rng>,
     due: Cell<Option<Nanos>>,
     due_sooner: Notify,
 }
@@ -189,6 +191,7 @@
             attempts: RefCell::default(),
             bodies: Rc::new(Cell::new(limits.bodies)),
             named: (seed, Cell::new(0)),
+            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             due: Cell::new(None),
             due_sooner: Notify::new(),
             deployment,
@@ -246,6 +249,11 @@
         format!("msg_{:016x}{:08x}", self.named.0, self.named.1.get())
     }
 
+    /// A random number from 0 to 1.
+    pub fn draw(&self) -> f64 {
+        self.rng.borrow_mut().f64()
+    }
+
     /// Whether another request may be opened.
     pub fn full(&self) -> bool {
         self.core.borrow().open() >= self.limits.open
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -67,10 +67,13 @@
     pub slack: Duration,
     /// A watch of the node list without a line for so long is lost.
     pub list_silence: Duration,
-    /// A new place of the node list must have answered within this, or it is asked once more.
+    /// A call for the node list that is not answered within this is given up: it fails calls that waited 2 s.
     pub list_answer: Duration,
-    /// And after a failure there it is asked again so soon.
+    /// After a failure at a new place it is asked again so soon,
     pub list_again: Duration,
+    /// and after further ones so late at the most: with a call that is given up, well short of the 6 s after which what
+    /// the list has to tell counts as told.
+    pub list_again_most: Duration,
     /// An agent that has lists pushed to it answers at once: one that has not within this is silent.
     pub agent_answer: Duration,
     /// And is asked again so soon, as what it gets when it hears again counts as told at that moment.
@@ -137,8 +140,9 @@
             probe: Duration::from_millis(500),
             slack: nanos(of.answer_slack).min(Duration::from_millis(10)),
             list_silence: Duration::from_secs(4),
-            list_answer: Duration::from_millis(2500),
-            list_again: Duration::from_millis(150),
+            list_answer: Duration::from_millis(2200),
+            list_again: Duration::from_millis(300),
+            list_again_most: Duration::from_secs(3),
             agent_answer: Duration::from_millis(250),
             agent_again: Duration::from_millis(200),
             grace: Duration::from_millis(500),
--- a/router/src/list_clock.rs
+++ b/router/src/list_clock.rs
@@ -13,12 +13,30 @@
 /// What a place of the list is held to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Terms {
-    /// A call that has not been answered within this is given up; `None`: whoever wished for it sees to that.
-    pub answer: Option<Duration>,
+    /// A call that has not been answered within this is given up.
+    pub answer: Duration,
     /// A watch that has said nothing for so long is broken.
     pub silence: Duration,
-    /// After a loss it is opened again so much later; `None`: at the next wish.
-    pub again: Option<Duration>,
+    /// After a loss it is opened again; `None`: at the next wish.
+    pub again: Option<Backoff>,
+}
+
+/// How long it waits after a loss: twice as long after each further one, and half of it by chance, so that hundreds of
+/// routers that lost it together neither ask together nor as often as ever.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Backoff {
+    /// After the first.
+    pub first: Duration,
+    /// At the most.
+    pub most: Duration,
+}
+
+impl Backoff {
+    /// The wait after so many losses in a row before this one; `draw` is random, from 0 to 1.
+    fn wait(self, losses: u32, draw: f64) -> Duration {
+        let whole = self.first.saturating_mul(1 << losses.min(20)).min(self.most);
+        whole.mul_f64(0.5 + 0.5 * draw)
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +67,8 @@
 pub struct ListClock {
     terms: Cell<Terms>,
     state: Cell<State>,
+    /// Losses since it last said something.
+    losses: Cell<u32>,
 }
 
 fn after(at: Nanos, wait: Duration) -> Nanos {
@@ -58,7 +78,7 @@
 impl ListClock {
     /// Of a place that nobody watches yet.
     pub fn new(terms: Terms) -> ListClock {
-        ListClock { terms: Cell::new(terms), state: Cell::new(State::Idle) }
+        ListClock { terms: Cell::new(terms), state: Cell::new(State::Idle), losses: Cell::new(0) }
     }
 
     /// It is held to other terms from now on.
@@ -79,12 +99,14 @@
     /// It has said something.
     pub fn heard(&self, now: Nanos) {
         self.state.set(State::Heard(now));
+        self.losses.set(0);
     }
 
-    /// It has ended, or was broken.
-    pub fn lost(&self, now: Nanos) {
-        let again = self.terms.get().again;
-        self.state.set(again.map_or(State::Idle, |wait| State::Due(after(now, wait))));
+    /// It has ended, or was broken. `draw` is random, from 0 to 1.
+    pub fn lost(&self, now: Nanos, draw: f64) {
+        let losses = self.losses.replace(self.losses.get().saturating_add(1));
+        let due = |again: Backoff| State::Due(after(now, again.wait(losses, draw)));
+        self.state.set(self.terms.get().again.map_or(State::Idle, due));
     }
 
     /// What is to be done now.
@@ -93,7 +115,7 @@
         let (at, then) = match self.state.get() {
             State::Idle => return Step::Wait(None),
             State::Due(at) => (Some(at), Step::Open),
-            State::Called(at) => (terms.answer.map(|limit| after(at, limit)), Step::Broken),
+            State::Called(at) => (Some(after(at, terms.answer)), Step::Broken),
             State::Heard(at) => (Some(after(at, terms.silence)), Step::Broken),
         };
         match at {
--- a/router/src/list_clock/tests.rs
+++ b/router/src/list_clock/tests.rs
@@ -4,9 +4,9 @@
 
 const MS: Nanos = SECOND / 1000;
 const PUSHED: Terms = Terms {
-    answer: Some(Duration::from_millis(250)),
+    answer: Duration::from_millis(250),
     silence: Duration::from_secs(4),
-    again: Some(Duration::from_millis(200)),
+    again: Some(Backoff { first: Duration::from_millis(200), most: Duration::from_millis(200) }),
 };
 
 /// What an agent does over time: silent in outages, else it answers at once and gives a sign every 2 s to watches
@@ -26,7 +26,7 @@
                     clock.heard(t);
                 }
             }
-            Step::Broken => clock.lost(t),
+            Step::Broken => clock.lost(t, 1.0),
             Step::Wait(_) => {}
         }
         if !watch_mute && t % (2 * SECOND) == 0 {
@@ -54,15 +54,35 @@
 
 #[test]
 fn where_the_list_is_asked_for_the_wish_decides_when() {
-    let clock = ListClock::new(Terms { answer: None, again: None, ..PUSHED });
+    let clock = ListClock::new(Terms { answer: Duration::from_secs(2), again: None, ..PUSHED });
     assert_eq!(clock.step(0), Step::Wait(None));
     clock.wanted(5);
     assert_eq!(clock.step(5), Step::Open);
     clock.opened(5);
-    assert_eq!(clock.step(SECOND * 60), Step::Wait(None), "who wished for it wishes again");
+    assert_eq!(clock.step(6), Step::Wait(Some(5 + 2 * SECOND)));
+    assert_eq!(clock.step(5 + 2 * SECOND), Step::Broken, "whoever wished for it is told that it has failed");
     clock.heard(SECOND);
     assert_eq!(clock.step(SECOND), Step::Wait(Some(5 * SECOND)));
     assert_eq!(clock.step(5 * SECOND), Step::Broken);
-    clock.lost(5 * SECOND);
+    clock.lost(5 * SECOND, 1.0);
     assert_eq!(clock.step(60 * SECOND), Step::Wait(None), "a budget of calls is not spent here");
 }
+
+#[test]
+fn waits_grow_to_their_bound_by_losses_in_a_row_and_are_spread() {
+    let again = Backoff { first: Duration::from_millis(300), most: Duration::from_secs(3) };
+    let clock = ListClock::new(Terms { again: Some(again), ..PUSHED });
+    let wait = |draw| {
+        clock.lost(0, draw);
+        match clock.step(0) {
+            Step::Wait(Some(at)) => at / MS,
+            step => panic!("{step:?}"),
+        }
+    };
+    let waits: Vec<Nanos> = (0..100).map(|_| wait(1.0)).collect();
+    assert_eq!(waits[..6], [300, 600, 1200, 2400, 3000, 3000]);
+    assert!(waits[6..].iter().all(|w| *w == 3000));
+    assert_eq!(wait(0.0), 1500, "half of it is chance");
+    clock.heard(0);
+    assert_eq!(wait(1.0), 300);
+}
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -18,7 +18,7 @@
 
 use crate::host::Host;
 use crate::http::{Body, Framing, Head, Part, Start, Wire};
-use crate::list_clock::{ListClock, Step, Terms};
+use crate::list_clock::{Backoff, ListClock, Step, Terms};
 use crate::pages::{NoObject, Pages};
 
 /// One object of the list: the whole of it, or what changed.
@@ -152,7 +152,7 @@
             }
         };
         self.watching = None;
-        self.place.clock.lost(host.clock.now());
+        self.place.clock.lost(host.clock.now(), host.draw());
         lost
     }
 }
@@ -172,9 +172,12 @@
 pub async fn keep(host: Rc<Host>) {
     let limits = &host.limits;
     let pushed = host.deployment.decisions.list == ListMode::Pushed;
-    let asked = Terms { answer: None, silence: limits.list_silence, again: None };
-    let agent = Terms { answer: Some(limits.agent_answer), again: Some(limits.agent_again), ..asked };
-    let moving = Terms { answer: Some(limits.list_answer), again: Some(limits.list_again), ..asked };
+    let asked = Terms { answer: limits.list_answer, silence: limits.list_silence, again: None };
+    // The agent is the router's own: no others ask it, and it is asked as often as ever.
+    let steady = Backoff { first: limits.agent_again, most: limits.agent_again };
+    let agent = Terms { answer: limits.agent_answer, again: Some(steady), ..asked };
+    let backoff = Backoff { first: limits.list_again, most: limits.list_again_most };
+    let moving = Terms { again: Some(backoff), ..asked };
     let (terms, moving) = if pushed { (agent, agent) } else { (asked, moving) };
     let mut named = host.list_at.subscribe();
     let mut current = Follow::new(*named.borrow_and_update(), terms);
