Look at the client once more before an attempt is written; see an end behind a full buffer

By the code two ways led there: an attempt whose connection came up in the same look at the sockets as its client's end was written first (node.rs, stream), and a client that had sent 16 KiB ahead was not read any more, so its end was never seen while it waited (front/mod.rs, next).

Change: before its bytes are written an attempt lets the event loop look at the sockets once more; a front that hears of an end calls it off first. With a full buffer the front looks every 20 ms whether the other side has shut down.

Tests, each seen to fail without its guard: eight clients that leave as their attempts connect (8 written instead of 7); a client that leaves behind 80 KB sent ahead. Fifty that leave at once are not tried again: passes without the guards as well.

--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -310,18 +310,26 @@
 /// Waits for the next piece of an answer, and notices when the client leaves.
 pub async fn next(host: &Host, wire: &mut Wire, ticket: &mut Ticket) -> Next {
     loop {
-        // A client that sends on before it has its answer is read only so far.
+        // A client that sends on before it has its answer is read only so far; its end is seen all the same.
         let room = wire.buf.len() < host.limits.head;
+        let sends_on = async {
+            match room {
+                true => matches!(wire.more().await, Ok(true)),
+                false => {
+                    wire.ended(host.limits.end_look).await;
+                    false
+                }
+            }
+        };
         tokio::select! {
             biased;
             // A stream that was ended here leaves no word.
             piece = ticket.next() => {
                 return Next::Piece(piece.unwrap_or(Piece::Answer(FinalAnswer::Broken)))
             }
-            more = wire.more(), if room => match more {
-                Ok(true) => {}
-                _ => return Next::Left,
-            }
+            sends_on = sends_on => if !sends_on {
+                return Next::Left;
+            },
         }
     }
 }
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -2,9 +2,10 @@
 //! answers written in one gathered write. Whatever is ambiguous is refused, never guessed.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 
 use crate::limits::Limits;
@@ -313,6 +314,14 @@
         }
     }
 
+    /// Waits for the end of what the other side sends, whatever of it is not read yet: looks again after each `pause`, as
+    /// bytes that are left unread would else wake it all the time.
+    pub async fn ended(&self, pause: Duration) {
+        while self.stream.ready(Interest::READABLE).await.is_ok_and(|r| !r.is_read_closed()) {
+            tokio::time::sleep(pause).await;
+        }
+    }
+
     /// Lets the room go that the last message took, before a time of waiting.
     pub fn rest(&mut self) {
         if self.buf.is_empty() {
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -57,6 +57,8 @@
     pub at_once: Duration,
     /// The pause after that, before the next request on the connection is read.
     pub pause: Duration,
+    /// Whether a client that has sent much ahead has left is looked at so often.
+    pub end_look: Duration,
     /// A client that takes nothing for so long has left.
     pub write: Duration,
     /// A begun stream without an event for so long is broken.
@@ -135,6 +137,7 @@
             patience: 8,
             at_once: Duration::from_millis(20),
             pause: Duration::from_millis(50),
+            end_look: Duration::from_millis(20),
             write: Duration::from_secs(30),
             silence: Duration::from_secs(4),
             probe: Duration::from_millis(500),
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -279,6 +279,9 @@
             Ok(reached) => reached,
             Err(outcome) => return outcome.into(),
         };
+        // A client may have left while the connection came up, and both be news of one moment: so what the sockets
+        // have to say is taken up once more, and a front that hears of its client's end calls this off first.
+        tokio::task::yield_now().await;
         // Broken before its last byte was written, the request cannot have run.
         let Some((head, body)) = self.message() else { return Outcome::Skipped.into() };
         if link.wire.write(head.chain(body)).await.is_err() {
--- /dev/null
+++ b/router/tests/gone.rs
@@ -0,0 +1,108 @@
+//! Clients that leave: nothing is begun for them afterwards, whatever was under way.
+#![allow(missing_docs)]
+
+mod common;
+
+use std::future::poll_fn;
+use std::task::Poll;
+
+use common::*;
+use tallypin::names;
+use tallypin_router::dialect::Dialect::Chat;
+use tokio::task::spawn_local;
+
+/// Lets the other tasks have their turns, so many times, without a look at the sockets in between.
+async fn turns(mut n: usize) {
+    poll_fn(|cx| {
+        if n == 0 {
+            return Poll::Ready(());
+        }
+        n -= 1;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
+/// Guards against an attempt that is written when its connection and its client's end are news of one moment.
+#[test]
+fn what_connects_as_its_client_leaves_is_not_sent() {
+    run(async {
+        let (mut called_off, mut written) = (0, 0);
+        for wait in 0..40 {
+            let node = Node::new(Chat).await;
+            node.plan(&[Fault::Mute; 8]);
+            let router = Router::new(Chat, &[&node], |_| {}).await;
+            let mut clients = Vec::new();
+            for _ in 0..8 {
+                let mut client = Client::to(router.addr).await;
+                client.send(&platform("", "{}")).await;
+                clients.push(client);
+            }
+            // A task beside the router's has its turns between theirs.
+            let host = router.host.clone();
+            let leaves = spawn_local(async move {
+                while host.with(|core, _| core.open()) < clients.len() {
+                    turns(1).await;
+                }
+                turns(wait).await;
+                drop(clients);
+                host.nodes.out(names::node("s-0"))
+            });
+            let out = leaves.await.unwrap();
+            until(|| router.tallies().left == 8).await;
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            let (_, requests) = node.so_far();
+            assert_eq!(requests, out as usize, "{wait} turns later: sent on after the client had left");
+            called_off += 8 - out;
+            written += out;
+        }
+        println!("{called_off} called off, {written} written before");
+        assert!(called_off > 0, "no client left early enough to tell");
+    });
+}
+
+/// Guards against an end that is not seen because what stands before it is not read.
+#[test]
+fn an_end_behind_much_that_was_sent_ahead_is_seen() {
+    run(async {
+        let node = Node::new(Chat).await;
+        node.plan(&[Fault::Mute]);
+        let router = Router::new(Chat, &[&node], |_| {}).await;
+        let mut client = Client::to(router.addr).await;
+        client.send(&platform("", "{}")).await;
+        node.next_request().await;
+        client.send(&"POST /v1/chat/completions HTTP/1.1\r\n".repeat(2_000)).await;
+        drop(client);
+        until(|| router.tallies().left == 1).await;
+        assert_eq!(node.next().await, Seen::GivenUp);
+    });
+}
+
+/// Fifty that wait for a node that answers nothing leave together, just before each would be tried again.
+#[test]
+fn of_many_that_leave_at_once_none_is_tried_again() {
+    run(async {
+        let (first, second) = (Node::new(Chat).await, Node::new(Chat).await);
+        first.plan(&[Fault::Mute; 100]);
+        second.plan(&[Fault::Mute; 100]);
+        let router = Router::new(Chat, &[&first, &second], |_| {}).await;
+        let mut clients = Vec::new();
+        for _ in 0..50 {
+            let mut client = Client::to(router.addr).await;
+            client.send(&platform("", "{}")).await;
+            clients.push(client);
+        }
+        let sent = || first.so_far().1 + second.so_far().1;
+        let mut seen = 0;
+        while seen < 50 {
+            tokio::task::yield_now().await;
+            seen += sent();
+        }
+        clients.clear();
+        until(|| router.tallies().left == 50 && router.open() == 0).await;
+        let before = sent();
+        tokio::time::sleep(router.host.limits.connect * 4).await;
+        assert_eq!((before, sent()), (0, 0), "tried again for a client that has left");
+    });
+}
