Test that idle clients leave descriptors for the node list and for nodes

The limits keep some back (limits.rs); nothing showed it with a real bound.

Change: a test starts the program with 128 descriptors by ulimit, a crowd of 400 that say nothing, a node list that takes calls and answers none, then answers: the router is told, says that it is ready, and serves.

--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -4,10 +4,12 @@
 mod common;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
-use tallypin_standin::park::Reserved;
+use tallypin_standin::park::{Node, Reserved};
 
 fn tallypin() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tallypin"));
@@ -243,3 +245,84 @@
     let dropped = lines.find(|l| l["message"] == "lines of the log were dropped").unwrap();
     assert!(dropped["dropped"].as_u64().unwrap() > 0, "{dropped}");
 }
+
+/// Ends what runs beside a test, also one that fails.
+struct Ends<'a>(std::process::Child, &'a AtomicBool);
+
+impl Drop for Ends<'_> {
+    fn drop(&mut self) {
+        self.1.store(true, Ordering::SeqCst);
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Guards against idle clients that take the last descriptors while the node list is away: the router would not get
+/// through to it when it is back, nor to the nodes that it names.
+#[test]
+fn idle_clients_leave_room_for_the_node_list_and_for_nodes() {
+    let ip = "127.2.3.1";
+    let node = Node::start(ip);
+    // It takes calls and answers none, for now.
+    let list = TcpListener::bind((ip, 0)).unwrap();
+    let front = Reserved::on(ip).unwrap();
+    let path = std::env::temp_dir().join(format!("tallypin-crowd-{}.json", std::process::id()));
+    let config = include_str!("../../examples/config.json").replace("\"sockets\": 1024", "\"sockets\": 128");
+    std::fs::write(&path, config.replace("\"MustAskInNs\": 10000000000", "\"MustAskInNs\": 1000000000"))
+        .unwrap();
+    let mut serve = Command::new("/bin/sh");
+    serve.args(["-c", "ulimit -n 128; exec \"$0\" serve", env!("CARGO_BIN_EXE_tallypin")]).env_clear();
+    serve.env("PROXY_CONFIG", &path).env("PROXY_LISTEN", front.at.to_string());
+    serve.env("PROXY_DISCOVERY", list.local_addr().unwrap().to_string()).stderr(Stdio::null());
+    let (over, crowd) = (AtomicBool::new(false), AtomicUsize::new(0));
+    std::thread::scope(|s| {
+        let _ends = Ends(serve.spawn().unwrap(), &over);
+        // Always a few hundred that say nothing; whoever is closed is replaced.
+        s.spawn(|| {
+            let mut idle = std::collections::VecDeque::new();
+            while !over.load(Ordering::SeqCst) {
+                idle.extend(TcpStream::connect(front.at).ok());
+                if idle.len() > 400 {
+                    idle.pop_front();
+                    crowd.fetch_add(1, Ordering::SeqCst);
+                }
+            }
+        });
+        let asks = |request: &str| {
+            let mut client = TcpStream::connect(front.at).ok()?;
+            client.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+            client.write_all(request.as_bytes()).ok()?;
+            let mut status = [0; 12];
+            client.read_exact(&mut status).ok()?;
+            String::from_utf8(status.to_vec()).ok()
+        };
+        let until = |what: &str, so: &dyn Fn() -> bool| {
+            let begun = Instant::now();
+            while !so() {
+                assert!(begun.elapsed() < Duration::from_secs(15), "not in time: {what}");
+            }
+        };
+        until("the crowd is there", &|| crowd.load(Ordering::SeqCst) > 100);
+        let up = || asks("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+        until("it says that it serves nothing", &|| up().as_deref() == Some("HTTP/1.1 503"));
+        // The list is back: whoever calls now is answered.
+        s.spawn(|| {
+            let row = format!(
+                r#"{{"version":1,"full":true,"servers":[{{"id":"n0","addr":"{}","state":"active"}}]}}"#,
+                node.at
+            );
+            let mut watches = Vec::new();
+            list.set_nonblocking(true).unwrap();
+            while !over.load(Ordering::SeqCst) {
+                let Ok((mut call, _)) = list.accept() else { continue };
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let _ = call.write_all(format!("{head}{:x}\r\n{row}\n\r\n", row.len() + 1).as_bytes());
+                watches.push(call);
+            }
+        });
+        until("it is told and says so", &|| up().as_deref() == Some("HTTP/1.1 200"));
+        let request = || asks(&common::platform("", "{}"));
+        until("it serves", &|| request().as_deref() == Some("HTTP/1.1 200"));
+    });
+    std::fs::remove_file(&path).unwrap();
+}
