Call attempts off only for others; refuse at once who has less time than first tokens take

Later on attempts were called off after 70% of the time though no other could be in time, so they were refused.

Lines at fault: src/choice.rs, on_check cancelled without asking whether there was another; on_request and again took a replica that was not sampled for ready as soon as the prompt was read.

Change: in_time also wants left what first tokens take on the average (the strain, which fades); on_check asks another() first, where a second attempt may be out beside the first.

--- a/router/tests/dialects.rs
+++ b/router/tests/dialects.rs
@@ -49,7 +49,7 @@
         ("reset", &[Fault::Reset, Fault::None], ""),
         ("slow", &[Fault::Slow], ""),
         ("refused", &[], ""),
-        // Given up on before the deadline: both nodes are silent.
+        // Both nodes are silent: the first is given up on for the second, which there is no other for, at the deadline.
         ("silent nodes", &[Fault::Mute, Fault::Mute], late),
     ] {
         // New names each time: what the module learnt of a node in one case shall not touch the next.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,10 +7,10 @@
 use crate::api::*;
 use crate::estimate::{self, Pace};
 use crate::kept::{self, Sessions};
-use crate::membership::{Members, Membership, MOST_HOMES, MOST_KEYS};
+use crate::membership::{Members, Membership, MOST_HOMES};
 use crate::report;
 use crate::state::*;
-use crate::stats::{mix, turn, unit_race, Recent};
+use crate::stats::{mix, turn, unit_race, Beginnings};
 use fastrand::Rng;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cmp::Reverse;
@@ -83,8 +83,8 @@
 /// First and longest time of an ejection, ns.
 const EJECT: (Nanos, Nanos) = (3 * SECOND, 24 * SECOND);
 
-/// The longest wait for the next call for the list: half of the 6 s after which what it has to tell counts as told.
-/// The other half is for a call that was out when the list came back, and for the answer.
+/// The longest wait for the next call for the list: half of the 6 s after which what it has to tell counts as
+/// told. The other half is for a call that was out when the list came back, and for the answer.
 const LONGEST_LIST_WAIT: f64 = 3.0 * SECOND as f64;
 /// The least advice to a client refused for want of room.
 const LEAST_ADVICE: Nanos = SECOND / 10;
@@ -127,7 +127,7 @@
     buckets: Vec<Bucket>,
     period: Nanos,
     last_tick: Nanos,
-    prefixes: FxHashMap<PrefixKey, Recent>,
+    beginnings: Beginnings,
     pub(crate) fleet: Fleet,
     retry_budget: f64,
     watch: Watch,
@@ -174,7 +174,7 @@
             buckets,
             period: (period * SECOND as f64) as Nanos,
             last_tick: 0,
-            prefixes: FxHashMap::default(),
+            beginnings: Beginnings::default(),
             retry_budget: RETRY_MOST,
             watch: Watch::default(),
             fleet: Fleet::begin(OVERLOADED),
@@ -371,7 +371,8 @@
         request.tenant.0 = request.tenant.0.min(self.buckets.len() as u32 - 1);
         request.prefix_tokens = request.prefix_tokens.min(request.prompt_tokens);
         let tenant = request.tenant.0 as usize;
-        self.note_prefix(now, &request);
+        // The share of each beginning in the traffic, over some seconds, decides how many homes it gets.
+        self.beginnings.hit(now, request.prefix);
         let deadline = now.saturating_add(request.left);
         // A stream that comes back was paid for when it first came.
         let returned = request.returned;
@@ -379,7 +380,7 @@
         let open = Open { paid: paid && !returned, ..Open::new(now, deadline, request) };
         // Refused early: no token, or no replica that would begin in time.
         let pick = if paid { self.pick(now, &open) } else { None };
-        let pick = pick.filter(|p| p.wait < self.wanted_in(now, &open));
+        let pick = pick.filter(|p| self.in_time(now, &open, p));
         self.open.insert(id, open);
         self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_MOST);
         match pick {
@@ -393,6 +394,14 @@
         self.set.classes[r.class.0 as usize].aim_for(r.prompt_tokens)
     }
 
+    /// Whether an attempt is likely to begin in time: the replica is not known to take longer, and there is
+    /// left what first tokens take on the average. What is called off costs replicas work, and others time.
+    fn in_time(&self, now: Nanos, open: &Open, pick: &Pick) -> bool {
+        let left = open.deadline.saturating_sub(now) as f64;
+        let mean = self.fleet.strain_at(now) * self.aim(&open.request);
+        pick.wait < self.wanted_in(now, open) && mean < left
+    }
+
     /// So many ns from now a first token is wanted: before the client leaves; under strain within the aim,
     /// where late answers earn less. Those that lost their kept tokens would delay the others.
     fn wanted_in(&self, now: Nanos, open: &Open) -> f64 {
@@ -485,16 +494,6 @@
         self.fleet.fit.slope(prior).clamp(prior / 10.0, prior * 5.0)
     }
 
-    fn note_prefix(&mut self, now: Nanos, r: &Request) {
-        // The share of each beginning in the traffic, over some seconds, decides how many homes it gets.
-        self.fleet.traffic.hit(now);
-        let Some(p) = r.prefix else { return };
-        if self.prefixes.len() > MOST_KEYS {
-            self.prefixes.clear();
-        }
-        self.prefixes.entry(p).or_default().hit(now);
-    }
-
     fn pick(&mut self, now: Nanos, open: &Open) -> Option<Pick> {
         if self.members.ready.all().is_empty() {
             return None;
@@ -508,12 +507,11 @@
         found.clear();
         let mut known = usize::MAX;
         if let Some(key) = r.prefix.map(|p| p.0).or(r.session.map(|s| s.0)) {
-            let hits = r.prefix.and_then(|p| self.prefixes.get(&p)).copied().unwrap_or_default();
             let (near, all) = (self.members.near.all().len() as f64, self.members.ready.all().len() as f64);
             let reach = near + (all - near) * self.far_weight;
             // Told by few requests the share is a guess, another one at each gateway. As far as it is, all
             // are homes, which gateways agree on: a session's turns meet at one, whoever gets them.
-            let share = hits.share_of(&self.fleet.traffic, 1.0 / HOMES_PER_SHARE, SHARE_DOUBT);
+            let share = self.beginnings.share(r.prefix, 1.0 / HOMES_PER_SHARE, SHARE_DOUBT);
             let spread = share * reach * HOMES_PER_SHARE;
             // More homes than a pick looks at: the beginning is split; gateways agree on a session's part.
             let parts = (spread / MOST_HOMES as f64).max(1.0).log2().ceil().exp2();
@@ -764,9 +762,14 @@
                 }
                 continue;
             }
-            // A replica that has begun another answer since is alive: waiting on beats starting over.
+            // A replica that has begun another answer since is alive: waiting on beats starting over. So it
+            // does where no other is likely to be in time, as far as can be told while this one is out.
             let silent = self.replicas[a.replica].heard < a.sent;
-            if !o.answered && !o.started && a.outcome.is_none() && silent && self.retry_budget >= 1.0 {
+            let waits = !o.answered && !o.started && a.outcome.is_none() && silent;
+            if waits
+                && self.retry_budget >= 1.0
+                && (!self.set.parallel_tries || self.another(now, id).is_some())
+            {
                 out.push(Action::Cancel { request: id, attempt });
             }
         }
@@ -780,14 +783,8 @@
         let Some(o) = self.open.get(&id).filter(|o| calm && !o.answered && !o.started) else { return };
         let left = self.aim(&o.request) - now.saturating_sub(o.arrived) as f64;
         let out_now = o.attempts.iter().filter(|a| a.outcome.is_none()).count();
-        // Attempts since the one that this look was set for may have used up the limit.
-        if out_now != 1 || o.attempts.len() as u32 >= self.set.try_limit {
-            return;
-        }
-        let Some(o) = self.open.remove(&id) else { return };
-        let pick = self.pick(now, &o).filter(|p| p.wait < left);
-        self.open.insert(id, o);
-        if let Some(p) = pick {
+        let pick = if out_now == 1 { self.another(now, id) } else { None };
+        if let Some(p) = pick.filter(|p| p.wait < left) {
             self.retry_budget -= 1.0;
             self.send(now, id, p, out);
         }
@@ -935,12 +932,8 @@
 
     /// No attempt is out and no answer given: another attempt, or the final answer.
     fn again(&mut self, now: Nanos, id: RequestId, out: &mut Vec<Action>) {
-        let Some(o) = self.open.remove(&id) else { return };
-        let more = (o.attempts.len() as u32) < self.set.try_limit && self.retry_budget >= 1.0;
-        let pick = if more { self.pick(now, &o) } else { None };
-        let pick = pick.filter(|p| p.wait < self.wanted_in(now, &o));
-        let refuse = self.may_refuse(&o);
-        self.open.insert(id, o);
+        let pick = self.another(now, id);
+        let Some(refuse) = self.open.get(&id).map(|o| self.may_refuse(o)) else { return };
         match pick {
             Some(p) => {
                 self.retry_budget -= 1.0;
@@ -955,6 +948,16 @@
         }
     }
 
+    /// Where another attempt is likely to be in time, if there may be one.
+    fn another(&mut self, now: Nanos, id: RequestId) -> Option<Pick> {
+        let o = self.open.remove(&id)?;
+        let more = (o.attempts.len() as u32) < self.set.try_limit && self.retry_budget >= 1.0;
+        let pick = if more { self.pick(now, &o) } else { None };
+        let pick = pick.filter(|p| self.in_time(now, &o, p));
+        self.open.insert(id, o);
+        pick
+    }
+
     // ---- Health ----
 
     fn note_load(&mut self, now: Nanos, i: usize, load: &[f64]) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::choice::{FLEET_HALF_S, FLEET_WEIGHT, FOOT, RATE_WEIGHT};
 use crate::estimate::Pace;
 use crate::kept::Holder;
-use crate::stats::{Fit, Recent};
+use crate::stats::Fit;
 use smallvec::SmallVec;
 
 /// A smoothed wait loses half of its distance to the fleet's in this time, s.
@@ -165,8 +165,6 @@
     /// Share of their beginning that prompts find kept away from its homes.
     pub(crate) stray_kept: f64,
     pub(crate) fit: Fit,
-    /// Requests.
-    pub(crate) traffic: Recent,
     /// Smoothed seconds of a stream after its first token, over so many streams.
     pub(crate) mean_pace: f64,
     paces: u32,
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -1,6 +1,9 @@
 //! Plain arithmetic that `choice.rs` decides by: a fit of a line, a count that forgets, a hash.
 
-use crate::api::{Nanos, SECOND};
+use rustc_hash::FxHashMap;
+
+use crate::api::{Nanos, PrefixKey, SECOND};
+use crate::membership::MOST_KEYS;
 
 /// Memory of the traffic's mix, s.
 const RECENT_S: f64 = 20.0;
@@ -38,6 +41,32 @@
     }
 }
 
+/// The requests of late, in all and by the beginning that their prompts share.
+#[derive(Default)]
+pub(crate) struct Beginnings {
+    all: Recent,
+    each: FxHashMap<PrefixKey, Recent>,
+}
+
+impl Beginnings {
+    /// One more.
+    pub(crate) fn hit(&mut self, now: Nanos, beginning: Option<PrefixKey>) {
+        self.all.hit(now);
+        let Some(key) = beginning else { return };
+        // Guards against clients that never name the same one twice.
+        if self.each.len() > MOST_KEYS {
+            self.each.clear();
+        }
+        self.each.entry(key).or_default().hit(now);
+    }
+
+    /// A beginning's share of all, as [`Recent::share_of`] has it.
+    pub(crate) fn share(&self, beginning: Option<PrefixKey>, prior: f64, doubt: f64) -> f64 {
+        let hits = beginning.and_then(|key| self.each.get(&key)).copied().unwrap_or_default();
+        hits.share_of(&self.all, prior, doubt)
+    }
+}
+
 impl Fit {
     pub(crate) fn add(&mut self, x: f64, y: f64) {
         for (sum, v) in [
@@ -81,3 +110,6 @@
     let u = (hash >> 11) as f64 / (1u64 << 53) as f64;
     -(u + 1e-18).ln()
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -192,6 +192,43 @@
     assert!(begun(0.2, 300 * MS, true), "a stream that has begun is finished");
 }
 
+/// Guards against work that is begun only to be called off: what a client with little time left is too late for anyhow.
+#[test]
+fn who_has_less_time_than_first_tokens_take_is_refused_at_once() {
+    let begun = |wait: Nanos, left: Nanos| {
+        let mut w = World::with_replicas(settings(1, 0), 5, 4);
+        for n in 0..20 {
+            w.demand(plain(n));
+            w.run_to(w.now + wait);
+            w.first(RequestId(n), 0);
+            w.end(RequestId(n), 0, Outcome::Done);
+        }
+        // Others take their place: of these no more is known than the reading.
+        w.list(ListKind::Full, (10..14).map(row).collect());
+        let asked = Request { left, prompt_tokens: 100, prefix_tokens: 0, ..plain(99) };
+        World::sent_to(&w.demand(asked)).is_some()
+    };
+    assert!(begun(20 * MS, 200 * MS), "where first tokens take 20 ms there is time");
+    assert!(!begun(600 * MS, 200 * MS), "where they take 600 ms there is not");
+    assert!(begun(600 * MS, 2 * SECOND));
+}
+
+/// Guards against attempts that are called off with no better place to go: they would only have made work.
+#[test]
+fn an_attempt_is_called_off_only_for_another() {
+    let called_off = |replicas: u64, parallel_tries: bool| {
+        let set = Settings { parallel_tries, ..settings(1, 0) };
+        let mut w = World::with_replicas(set, 5, replicas);
+        w.demand(plain(1));
+        let to = w.now + 4 * SECOND;
+        let mut out = w.run_to(to);
+        out.retain(|a| matches!(a, Action::Cancel { .. }));
+        out.len()
+    };
+    assert_eq!((called_off(1, true), called_off(2, true)), (0, 1));
+    assert_eq!(called_off(1, false), 1, "where only one may be out nobody can tell");
+}
+
 #[test]
 fn if_most_look_bad_the_rest_are_not_drowned() {
     let mut w = World::with_replicas(settings(1, 0), 5, 4);
