--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -553,7 +553,12 @@
         there(&fleet, 3) == digest && fleet.stage(1, 3).is_empty()
     });
     let (old, new) = ("the key of this fleet of tests", "another key of this fleet, newer");
-    let write = |r: usize, text: &str| std::fs::write(fleet.routers[r].dir.join("key"), text).unwrap();
+    // In one step: a router that reads half of a file says once more that it can't be used.
+    let write = |r: usize, text: &str| {
+        let dir = &fleet.routers[r].dir;
+        std::fs::write(dir.join("key.new"), text).unwrap();
+        std::fs::rename(dir.join("key.new"), dir.join("key")).unwrap();
+    };
     let lines = |r: usize, line: &str| fleet.log(r).matches(line).count();
     for (step, text) in [format!("{old}\n{new}"), format!("{new}\n{old}"), new.to_string()].iter().enumerate()
     {
