Let a cold node's budget fall with the traffic at once: a node was pushed over

Lines at fault: src/state.rs, Fleet::flow. At 300 routers a tick comes every 16 s and the first ticks are averaged, so for many seconds each router's part of a cold node's budget went by twice the traffic that there was. This is inferred from the figures, not seen in a log.

Change: the flow is at most one and a half times that of the last 6 s (few requests vary by chance); a rise still counts from the next tick on. The unit test is as strict as before and holds the fall as well.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -208,7 +208,7 @@
 
     fn start(&mut self, now: Nanos, out: &mut Vec<Action>) {
         self.started = true;
-        self.last_tick = now;
+        (self.fleet.started, self.last_tick) = (now, now);
         for b in &mut self.buckets {
             b.at = now;
             b.peers.iter_mut().for_each(|p| p.at = now);
@@ -675,7 +675,7 @@
     /// than before.
     fn cold_credit(&self, now: Nanos, r: &Replica) -> f64 {
         let fall = self.set.fall as f64 / SECOND as f64;
-        let flow = self.fleet.flow(now.saturating_sub(self.last_tick));
+        let flow = self.fleet.flow(now, now.saturating_sub(self.last_tick));
         let used = (1.0 - (-flow * fall).exp()).max(LEAST_USED);
         let share = self.warmth(now, r) * self.fleet.speed(r.row.kind).min(1.0);
         let gain = self.set.fall_multiple * flow / self.fleet.nodes.max(1.0) * share / used;
@@ -736,7 +736,7 @@
         let (replica, row) = (r.row.replica, r.row.clone());
         let open = self.open.get_mut(&id).expect("looked up above");
         // What clients ask for again and again in a jam is no measure of what replicas can do.
-        self.fleet.sends += u32::from(open.attempts.is_empty() && !open.request.again);
+        self.fleet.note_sent(now, open.attempts.is_empty() && !open.request.again);
         open.attempts.push(Attempt {
             replica: i,
             row,
--- a/src/state.rs
+++ b/src/state.rs
@@ -148,9 +148,14 @@
 #[derive(Default)]
 pub(crate) struct Fleet {
     /// Requests sent on since the last tick, each once however often it is tried, by clients too, and their smoothed rate per second.
-    pub(crate) sends: u32,
+    sends: u32,
     flow: f64,
     ticks: u32,
+    /// Those of the last seconds, each counting less the longer ago it was, and when the last was.
+    recent: f64,
+    recent_at: Nanos,
+    /// When the gateway started.
+    pub(crate) started: Nanos,
     /// Smoothed number of replicas that are ready.
     pub(crate) nodes: f64,
     /// Smoothed wait of all replicas, and the highest of any.
@@ -172,6 +177,12 @@
     kinds: Vec<Kind>,
 }
 
+/// Memory of the requests of the last seconds, s: that of some where a gateway has one in a second, and short of the
+/// time in which traffic moves to other gateways and back.
+const FLOW_S: f64 = 6.0;
+/// Of so few requests there may be less than the mean by chance: so many times as much is taken for possible.
+const FLOW_CHANCE: f64 = 1.5;
+
 /// How much of a smoothed wait's distance to the fleet's still holds, 1 to 0: old news is no news. 0: never sampled.
 pub(crate) fn fresh(now: Nanos, sampled_at: Nanos) -> f64 {
     let age = now.saturating_sub(sampled_at) as f64 / SECOND as f64;
@@ -244,12 +255,30 @@
         self.strain * (-age / FLEET_HALF_S).exp2()
     }
 
+    /// A request was sent on, and counts or not.
+    pub(crate) fn note_sent(&mut self, now: Nanos, counts: bool) {
+        let one = u32::from(counts);
+        self.sends += one;
+        self.recent = self.recent_by(now) + f64::from(one);
+        self.recent_at = now;
+    }
+
+    fn recent_by(&self, now: Nanos) -> f64 {
+        self.recent * (-(now.saturating_sub(self.recent_at) as f64) / (FLOW_S * SECOND as f64)).exp()
+    }
+
     /// Own requests sent on a second, `since` ns after the last tick. Before the first one it is the mean since the start: a
-    /// fleet of gateways that has just restarted would else leave the replicas idle that start with it.
-    pub(crate) fn flow(&self, since: Nanos) -> f64 {
+    /// fleet of gateways that has just restarted would else leave the replicas idle that start with it. Ticks are many
+    /// seconds apart, so a burst counts late; that traffic has gone elsewhere, or is less, counts at once: what many
+    /// gateways still believe to have would else be more than there is.
+    pub(crate) fn flow(&self, now: Nanos, since: Nanos) -> f64 {
         match self.ticks {
             0 => f64::from(self.sends) / (since as f64 / SECOND as f64).max(1.0),
-            _ => self.flow,
+            _ => {
+                let age = now.saturating_sub(self.started) as f64 / SECOND as f64;
+                let recent = self.recent_by(now) / FLOW_S / (1.0 - (-age / FLOW_S).exp()).max(1e-3);
+                self.flow.min(FLOW_CHANCE * recent)
+            }
         }
     }
 
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -46,16 +46,21 @@
 }
 
 #[test]
-fn the_flow_is_known_from_the_start_and_the_first_ticks_are_averaged() {
+fn the_flow_is_known_from_the_start_the_first_ticks_are_averaged_and_less_counts_at_once() {
     let mut fleet = Fleet::begin(0.0);
-    for _ in 0..3 {
-        fleet.sends = 10;
-        let flow = fleet.flow(5 * SECOND);
+    let send = |fleet: &mut Fleet, n: u64, from: Nanos| {
+        (1..=n).for_each(|k| fleet.note_sent(from + k * 5 * SECOND / n, true));
+    };
+    for tick in 0..3 {
+        let from = tick * 5 * SECOND;
+        send(&mut fleet, 10, from);
+        let flow = fleet.flow(from + 5 * SECOND, 5 * SECOND);
         assert!((flow - 2.0).abs() < 1e-9, "{flow} before the tick");
         fleet.note_flow(5.0);
-        let flow = fleet.flow(0);
+        let flow = fleet.flow(from + 5 * SECOND, 0);
         assert!((flow - 2.0).abs() < 1e-9, "{flow} after it");
     }
-    fleet.sends = 1000;
-    assert!((fleet.flow(SECOND) - 2.0).abs() < 1e-9, "a burst counts from the next tick on");
+    send(&mut fleet, 1000, 15 * SECOND);
+    assert!((fleet.flow(20 * SECOND, SECOND) - 2.0).abs() < 1e-9, "a burst counts from the next tick on");
+    assert!(fleet.flow(70 * SECOND, SECOND) < 0.1, "nothing for 50 s, whatever the tick says");
 }
