Call attempts off as before where late answers earn nothing

Cause: src/choice.rs, on_check. On TWO late answers are worth nothing, and a call-off there drops what waits. An attempt that has outwaited its patience is past its aim, so under strain no other can be in time and it was held to the end for nothing.

Change: the look for another is made only for classes whose late answers earn something (LateShare of the settings).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -763,13 +763,12 @@
                 continue;
             }
             // A replica that has begun another answer since is alive: waiting on beats starting over. So it
-            // does where no other is likely to be in time, as far as can be told while this one is out.
+            // does where no other is likely to be in time, if late answers earn anything and it can be told.
             let silent = self.replicas[a.replica].heard < a.sent;
             let waits = !o.answered && !o.started && a.outcome.is_none() && silent;
-            if waits
-                && self.retry_budget >= 1.0
-                && (!self.set.parallel_tries || self.another(now, id).is_some())
-            {
+            let earns = self.set.classes[o.request.class.0 as usize].late_share > 0.0;
+            let asks = earns && self.set.parallel_tries;
+            if waits && self.retry_budget >= 1.0 && (!asks || self.another(now, id).is_some()) {
                 out.push(Action::Cancel { request: id, attempt });
             }
         }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -216,8 +216,9 @@
 /// Guards against attempts that are called off with no better place to go: they would only have made work.
 #[test]
 fn an_attempt_is_called_off_only_for_another() {
-    let called_off = |replicas: u64, parallel_tries: bool| {
-        let set = Settings { parallel_tries, ..settings(1, 0) };
+    let called_off = |replicas: u64, parallel_tries: bool, late_share: f64| {
+        let mut set = Settings { parallel_tries, ..settings(1, 0) };
+        set.classes[0].late_share = late_share;
         let mut w = World::with_replicas(set, 5, replicas);
         w.demand(plain(1));
         let to = w.now + 4 * SECOND;
@@ -225,8 +226,9 @@
         out.retain(|a| matches!(a, Action::Cancel { .. }));
         out.len()
     };
-    assert_eq!((called_off(1, true), called_off(2, true)), (0, 1));
-    assert_eq!(called_off(1, false), 1, "where only one may be out nobody can tell");
+    assert_eq!((called_off(1, true, 0.2), called_off(2, true, 0.2)), (0, 1));
+    assert_eq!(called_off(1, false, 0.2), 1, "where only one may be out nobody can tell");
+    assert_eq!(called_off(1, true, 0.0), 1, "where late answers earn nothing there is nothing to wait for");
 }
 
 #[test]
