Let one count that forgets serve beginnings and a router's own flow

Need: Fleet kept a decaying count of its own (recent, recent_at, recent_by in src/state.rs) beside stats::Recent, which is the same but for its memory.

Change: Recent takes the memory in seconds; Fleet uses it. Behaviour stays, up to the last bits of a sum; no test was changed.

--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::choice::{FLEET_HALF_S, FLEET_WEIGHT, FOOT, RATE_WEIGHT};
 use crate::estimate::Pace;
 use crate::kept::Holder;
-use crate::stats::Fit;
+use crate::stats::{Fit, Recent};
 use smallvec::SmallVec;
 
 /// A smoothed wait loses half of its distance to the fleet's in this time, s.
@@ -151,9 +151,8 @@
     sends: u32,
     flow: f64,
     ticks: u32,
-    /// Those of the last seconds, each counting less the longer ago it was, and when the last was.
-    recent: f64,
-    recent_at: Nanos,
+    /// Those of the last seconds, each counting less the longer ago it was.
+    recent: Recent,
     /// When the gateway started.
     pub(crate) started: Nanos,
     /// Smoothed number of replicas that are ready.
@@ -257,14 +256,10 @@
 
     /// A request was sent on, and counts or not.
     pub(crate) fn note_sent(&mut self, now: Nanos, counts: bool) {
-        let one = u32::from(counts);
-        self.sends += one;
-        self.recent = self.recent_by(now) + f64::from(one);
-        self.recent_at = now;
-    }
-
-    fn recent_by(&self, now: Nanos) -> f64 {
-        self.recent * (-(now.saturating_sub(self.recent_at) as f64) / (FLOW_S * SECOND as f64)).exp()
+        if counts {
+            self.sends += 1;
+            self.recent.hit(now, FLOW_S);
+        }
     }
 
     /// Own requests sent on a second, `since` ns after the last tick. Before the first one it is the mean since the start: a
@@ -276,7 +271,7 @@
             0 => f64::from(self.sends) / (since as f64 / SECOND as f64).max(1.0),
             _ => {
                 let age = now.saturating_sub(self.started) as f64 / SECOND as f64;
-                let recent = self.recent_by(now) / FLOW_S / (1.0 - (-age / FLOW_S).exp()).max(1e-3);
+                let recent = self.recent.by(now, FLOW_S) / FLOW_S / (1.0 - (-age / FLOW_S).exp()).max(1e-3);
                 self.flow.min(FLOW_CHANCE * recent)
             }
         }
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -30,9 +30,15 @@
 }
 
 impl Recent {
-    pub(crate) fn hit(&mut self, now: Nanos) {
+    /// One more, where a count is forgotten within about so many seconds.
+    pub(crate) fn hit(&mut self, now: Nanos, memory_s: f64) {
+        *self = Recent { count: self.by(now, memory_s) + 1.0, at: now };
+    }
+
+    /// What still counts.
+    pub(crate) fn by(&self, now: Nanos, memory_s: f64) -> f64 {
         let age = now.saturating_sub(self.at) as f64 / SECOND as f64;
-        *self = Recent { count: self.count * (-age / RECENT_S).exp() + 1.0, at: now };
+        self.count * (-age / memory_s).exp()
     }
 
     /// Its share of all, 0 to 1, believed as much as the prior where all are so many hits as the doubt.
@@ -51,13 +57,13 @@
 impl Beginnings {
     /// One more.
     pub(crate) fn hit(&mut self, now: Nanos, beginning: Option<PrefixKey>) {
-        self.all.hit(now);
+        self.all.hit(now, RECENT_S);
         let Some(key) = beginning else { return };
         // Guards against clients that never name the same one twice.
         if self.each.len() > MOST_KEYS {
             self.each.clear();
         }
-        self.each.entry(key).or_default().hit(now);
+        self.each.entry(key).or_default().hit(now, RECENT_S);
     }
 
     /// A beginning's share of all, as [`Recent::share_of`] has it.
