Test late second answers without a race against the 20 ms that a connection rests

The program is right: after its rest the connection may be used again.

Now two tests. In the first no connection ever rests long enough, so the second request opens its own at any speed of the machine. In the second both connections have rested, and the spoilt one, which would be taken first, is closed and the other used. Every assertion of the old test stands in one of them. Seen to fail: the first without the rest, the second without the look for spoilt connections or with a rest a thousand times as long.

--- a/router/tests/rough.rs
+++ b/router/tests/rough.rs
@@ -7,6 +7,7 @@
 
 use common::*;
 use tallypin_router::dialect::Dialect::Chat;
+use tallypin_router::limits::Limits;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -207,35 +208,66 @@
     });
 }
 
+/// A router before one node that the test plays by hand, connection by connection.
+async fn by_hand(limits: impl FnOnce(&mut Limits)) -> (Router, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let router = Router::new(Chat, &[], limits).await;
+    router.list([row("s-1", listener.local_addr().unwrap(), "active")]);
+    (router, listener)
+}
+
+/// The next connection to that node, and its first request read.
+async fn asked(listener: &TcpListener) -> Client {
+    let mut link = Client { stream: listener.accept().await.unwrap().0, buf: Vec::new() };
+    link.message().await.expect("a request");
+    link
+}
+
+/// A whole answer with this text.
+fn answer(text: &str) -> String {
+    let events = CHAT.iter().map(|e| chunk(&e.replace("Gott", text))).collect::<String>();
+    HEAD.to_string() + &events + "0\r\n\r\n"
+}
+
 /// Guards against a second answer to one request that comes after the first has ended: on a connection that is used again
-/// at once it would be taken for the next request's.
+/// at once it would be taken for the next request's. Here none has rested long enough, however slow the machine is.
 #[test]
 fn a_second_answer_that_comes_late_is_nobody_s() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let router = Router::new(Chat, &[], |_| {}).await;
-        router.list([row("s-1", listener.local_addr().unwrap(), "active")]);
-        let answer = |text: &str| {
-            let events = CHAT.iter().map(|e| chunk(&e.replace("Gott", text))).collect::<String>();
-            HEAD.to_string() + &events + "0\r\n\r\n"
-        };
+        let (router, listener) = by_hand(|l| l.node_rest = Duration::MAX).await;
         let (mut one, mut other) = (Client::to(router.addr).await, Client::to(router.addr).await);
         one.send(&platform("", "{}")).await;
-        let mut first = Client { stream: listener.accept().await.unwrap().0, buf: Vec::new() };
-        first.message().await.unwrap();
+        let mut first = asked(&listener).await;
         first.send(&answer("first")).await;
         assert!(one.answer().await.2.contains("first"));
         // Asked for at once; then the second answer to the first comes.
         other.send(&platform("", "{}")).await;
-        let mut second = Client { stream: listener.accept().await.unwrap().0, buf: Vec::new() };
+        let mut second = asked(&listener).await;
         first.send(&answer("late")).await;
-        second.message().await.unwrap();
         second.send(&answer("second")).await;
         assert!(other.answer().await.2.contains("second"));
-        // Of the two connections the spoilt one is not used again, the other one is.
+    });
+}
+
+/// Guards against a spoilt connection that is used again once it has rested, and against one that rests for ever.
+#[test]
+fn of_two_rested_connections_the_spoilt_one_is_closed_and_the_other_used() {
+    run(async {
+        let (router, listener) = by_hand(|_| {}).await;
+        let (mut one, mut other) = (Client::to(router.addr).await, Client::to(router.addr).await);
+        one.send(&platform("", "{}")).await;
+        let mut first = asked(&listener).await;
+        other.send(&platform("", "{}")).await;
+        let mut second = asked(&listener).await;
+        second.send(&answer("second")).await;
+        assert!(other.answer().await.2.contains("second"));
+        // The most recently used one, which would be taken first.
+        first.send(&answer("first")).await;
+        assert!(one.answer().await.2.contains("first"));
+        first.send(&answer("late")).await;
         tokio::time::sleep(router.host.limits.node_rest * 2).await;
         one.send(&platform("", "{}")).await;
-        second.message().await.unwrap();
+        second.message().await.expect("on the one that is not spoilt");
         second.send(&answer("third")).await;
         assert!(one.answer().await.2.contains("third"));
         assert!(first.message().await.is_none(), "closed");
