--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -165,7 +165,12 @@
     let (mut asked, mut hasty, mut refused_at) = (false, 0, None);
     // A first request is owed an answer, or the connection a close, soon after it was opened.
     let mut whole_by = Instant::now() + host.limits.read;
-    while wait_for_request(host, idle.take().unwrap_or_else(|| client.idle()), &mut wire, asked).await {
+    loop {
+        match wait_for_request(host, idle.take().unwrap_or_else(|| client.idle()), &mut wire, asked).await {
+            Resting::Asks => {}
+            Resting::Over => return linger(wire).await,
+            Resting::Unwanted => return,
+        }
         let (since, begun) = (host.clock.now(), Instant::now());
         if std::mem::replace(&mut asked, true) {
             whole_by = begun + host.limits.read;
@@ -203,19 +208,29 @@
     }
 }
 
-/// Waits until a request begins; false if the connection is to be closed instead.
-async fn wait_for_request(host: &Host, mut idle: Idling, wire: &mut Wire, asked: bool) -> bool {
+/// What comes of a connection that carries nothing.
+enum Resting {
+    /// A request begins.
+    Asks,
+    /// Its time is over, or its client's end has come: what its client may send in this moment is not to reset it.
+    Over,
+    /// Its room is needed at once.
+    Unwanted,
+}
+
+/// Waits until a request begins, or the connection is to be closed instead.
+async fn wait_for_request(host: &Host, mut idle: Idling, wire: &mut Wire, asked: bool) -> Resting {
     if !wire.buf.is_empty() {
-        return true;
+        return Resting::Asks;
     }
     wire.rest();
     let limit = if asked { host.limits.idle_client } else { host.limits.first };
     tokio::select! {
         biased;
-        more = wire.more() => matches!(more, Ok(true)),
-        () = parted(host, asked) => false,
-        () = idle.unwanted() => false,
-        () = tokio::time::sleep(limit) => false,
+        more = wire.more() => if matches!(more, Ok(true)) { Resting::Asks } else { Resting::Over },
+        () = parted(host, asked) => Resting::Over,
+        () = idle.unwanted() => Resting::Unwanted,
+        () = tokio::time::sleep(limit) => Resting::Over,
     }
 }
 
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -326,3 +326,71 @@
     });
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Processes, ended with the test.
+struct Fleet(Vec<std::process::Child>);
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            let _ = child.kill();
+        }
+        for child in &mut self.0 {
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Guards against routers that restart together and wait for a node list that is down before they say that they are
+/// ready, and against ones that say so and know no node.
+#[test]
+fn hundreds_that_restart_together_are_ready_by_the_list_they_held() {
+    const FLEET: usize = 120;
+    let ip = "127.2.4.1";
+    // It takes calls and answers none.
+    let list = TcpListener::bind((ip, 0)).unwrap();
+    let (list, dir) = (list.local_addr().unwrap().to_string(), tempfile::tempdir().unwrap());
+    let config = include_str!("../../examples/config.json");
+    let known = r#""known": {"version": 1, "full": true, "servers": [
+        {"id": "n0", "addr": "127.2.4.1:9", "state": "active"}]}, "settings""#;
+    let paths = [dir.path().join("known.json"), dir.path().join("nothing.json")];
+    std::fs::write(&paths[0], config.replace("\"settings\"", known)).unwrap();
+    std::fs::write(&paths[1], config).unwrap();
+    let (mut fleet, mut waiting) = (Fleet(Vec::new()), Vec::new());
+    let begun = Instant::now();
+    for n in 0..FLEET {
+        let front = Reserved::on(ip).unwrap();
+        let knows = n % 10 != 0;
+        let mut serve = tallypin();
+        serve.arg("serve").env("PROXY_CONFIG", &paths[usize::from(!knows)]).stderr(Stdio::null());
+        serve.env("PROXY_LISTEN", front.at.to_string()).env("PROXY_DISCOVERY", &list);
+        fleet.0.push(serve.spawn().unwrap());
+        waiting.push((front, knows));
+    }
+    let up = |at| {
+        let mut client = TcpStream::connect(at).ok()?;
+        client.write_all(b"GET /up HTTP/1.1\r\nHost: b\r\n\r\n").ok()?;
+        let mut status = [0; 12];
+        client.read_exact(&mut status).ok()?;
+        Some(status == *b"HTTP/1.1 200")
+    };
+    let mut ready_after = Vec::new();
+    while waiting.iter().any(|(_, knows)| *knows) {
+        waiting.retain(|(front, knows)| {
+            let ready = up(front.at) == Some(true);
+            assert!(*knows || !ready, "ready with no node known");
+            ready.then(|| ready_after.push(begun.elapsed()));
+            !ready
+        });
+        assert!(begun.elapsed() < Duration::from_secs(30), "{} are not ready", waiting.len());
+    }
+    let (nine_in_ten, last) = (ready_after[ready_after.len() * 9 / 10], ready_after[ready_after.len() - 1]);
+    println!("nine in ten ready after {nine_in_ten:?}, all after {last:?}");
+    assert!(nine_in_ten < Duration::from_secs(10), "{nine_in_ten:?}");
+    for (front, _) in &waiting {
+        while up(front.at).is_none() {
+            assert!(begun.elapsed() < Duration::from_secs(30), "one does not answer");
+        }
+        assert_eq!(up(front.at), Some(false), "it knows no node, and says so");
+    }
+}
