Decide how long a client connection is kept in a module without a socket

KeepAlive now says when a request has to be whole, who is read after a pause, how long a connection rests and whether it goes on after an answer; the front carries it out. No behaviour changes.

--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -20,6 +20,7 @@
 use crate::health;
 use crate::host::{HeldBody, Host, Piece, Ticket};
 use crate::http::{reason, Bad, Body, Framing, Head, Part, Start, Wire};
+use crate::keep_alive::{KeepAlive, Rest, Then};
 use crate::outward::{Door, Origin};
 use crate::shutdown::Stage;
 
@@ -99,17 +100,6 @@
     }
 }
 
-/// What an answer leaves of its connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Then {
-    /// Another request may come.
-    Next,
-    /// The same, but this one was refused or no request that could be taken.
-    Refused,
-    /// It is closed, at once.
-    Close,
-}
-
 /// Takes connections until the router closes.
 pub async fn serve(host: Rc<Host>, listener: TcpListener, front: Front) {
     let front = Rc::new(front);
@@ -124,7 +114,7 @@
             biased;
             accepted = listener.accept() => accepted,
             // Whoever the machine has accepted already is not to be reset when the listener goes.
-            () = closing(&host) => return,
+            () = parted(&host, Stage::Closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -137,16 +127,10 @@
     }
 }
 
-/// Waits for the closing stage, and long enough for what is under way to be seen.
-async fn closing(host: &Host) {
-    host.drain.reached(Stage::Closing).await;
-    tokio::time::sleep(host.limits.last_look).await;
-}
-
-/// Waits until a connection that carries nothing is to close: one that has asked something before goes with the
-/// parting, a new one only when the listeners go.
-async fn parted(host: &Host, asked: bool) {
-    host.drain.reached(if asked { Stage::Parted } else { Stage::Closing }).await;
+/// Waits until a connection that carries nothing is to close with the router, and long enough for what is under way to be
+/// seen.
+async fn parted(host: &Host, until: Stage) {
+    host.drain.reached(until).await;
     tokio::time::sleep(host.limits.last_look).await;
 }
 
@@ -162,27 +146,20 @@
         None => None,
     };
     let Some(Origin { client: from }) = from else { return };
-    let (mut asked, mut hasty, mut refused_at) = (false, 0, None);
-    // A first request is owed an answer, or the connection a close, soon after it was opened.
-    let mut whole_by = Instant::now() + host.limits.read;
+    let mut keep_alive = KeepAlive::new(Instant::now(), crowded);
     loop {
-        match wait_for_request(host, idle.take().unwrap_or_else(|| client.idle()), &mut wire, asked).await {
+        let rest = keep_alive.rest(&host.limits);
+        match wait_for_request(host, idle.take().unwrap_or_else(|| client.idle()), &mut wire, rest).await {
             Resting::Asks => {}
             Resting::Over => return linger(wire).await,
             Resting::Unwanted => return,
         }
-        let (since, begun) = (host.clock.now(), Instant::now());
-        if std::mem::replace(&mut asked, true) {
-            whole_by = begun + host.limits.read;
+        let since = host.clock.now();
+        let begun = keep_alive.begins(Instant::now(), &host.limits);
+        if let Some(pause) = begun.pause {
+            tokio::time::sleep(pause).await;
         }
-        // Who asks again the moment it is refused, again and again, is not read for a while: the others
-        // would have less of the processor.
-        let at_once = refused_at.take().is_some_and(|at: Instant| begun - at <= host.limits.at_once);
-        hasty = if at_once { hasty + 1 } else { 0 };
-        if hasty > host.limits.patience {
-            tokio::time::sleep(host.limits.pause).await;
-        }
-        let read = timeout_at(whole_by.into(), read_request(host, &mut wire, since));
+        let read = timeout_at(begun.whole_by.into(), read_request(host, &mut wire, since));
         let request = match read.await.unwrap_or(Ok(Err(Turned::Slow))) {
             Ok(request) => request.map(|r| Incoming { client: from, ..r }),
             Err(_) => return,
@@ -197,13 +174,9 @@
             Ok(request) => (request.head.keeps(), front.answer(host, &mut wire, request).await),
             Err(turned) => (false, front.turn(host, &mut wire, turned).await),
         };
-        // What was said to be the last answer is.
-        let keeps = keeps && host.drain.stage() < Stage::Parting;
-        match then {
-            Ok(Then::Next) if keeps && !crowded => {}
-            Ok(Then::Refused) if keeps && !crowded => refused_at = Some(Instant::now()),
-            Ok(_) => return linger(wire).await,
-            Err(_) => return,
+        let Ok(then) = then else { return };
+        if !keep_alive.answered(Instant::now(), then, keeps, host.drain.stage()) {
+            return linger(wire).await;
         }
     }
 }
@@ -219,18 +192,17 @@
 }
 
 /// Waits until a request begins, or the connection is to be closed instead.
-async fn wait_for_request(host: &Host, mut idle: Idling, wire: &mut Wire, asked: bool) -> Resting {
+async fn wait_for_request(host: &Host, mut idle: Idling, wire: &mut Wire, rest: Rest) -> Resting {
     if !wire.buf.is_empty() {
         return Resting::Asks;
     }
     wire.rest();
-    let limit = if asked { host.limits.idle_client } else { host.limits.first };
     tokio::select! {
         biased;
         more = wire.more() => if matches!(more, Ok(true)) { Resting::Asks } else { Resting::Over },
-        () = parted(host, asked) => Resting::Over,
+        () = parted(host, rest.until) => Resting::Over,
         () = idle.unwanted() => Resting::Unwanted,
-        () = tokio::time::sleep(limit) => Resting::Over,
+        () = tokio::time::sleep(rest.limit) => Resting::Over,
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod host;
 pub mod http;
 pub mod installation;
+pub mod keep_alive;
 pub mod limits;
 pub mod list_clock;
 pub mod log;
