Test who connects in the moment of the close, and what a further attempt tells its node

Sixty connects, 0.1 ms apart around the close of the listeners, are answered or never sent on, and one that was up before is always answered; without the last look it is reset. A further attempt tells at least the time less that the first one took; with the client's whole time told it fails.

--- a/router/tests/closing.rs
+++ b/router/tests/closing.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 use common::*;
@@ -60,6 +61,41 @@
     });
 }
 
+/// Guards against a listener that goes with whoever the machine has accepted already: a request that has been sent on such a
+/// connection would be reset unread. Each play connects a little later, the first before the close.
+#[test]
+fn who_connects_in_the_moment_of_the_close_is_answered_or_never_sent_on() {
+    run(async {
+        let (mut served, mut closed) = (0, 0);
+        for at in 0..60 {
+            let node = Node::new(Chat).await;
+            let router = Router::new(Chat, &[&node], |l| l.last_look = Duration::from_millis(2)).await;
+            let before = (at == 0).then(|| std::net::TcpStream::connect(router.addr).unwrap());
+            router.host.drain.enter(Stage::Closing);
+            let begun = Instant::now();
+            until(|| begun.elapsed() >= Duration::from_micros(100) * at).await;
+            // The connection is up before the router's tasks have another turn.
+            let client = before.or_else(|| std::net::TcpStream::connect(router.addr).ok());
+            let mut statuses = Vec::new();
+            if let Some(mut client) = client {
+                // Once the connection is closed for good, not even this goes out.
+                let _ = client.write_all(platform("", "{}").as_bytes());
+                client.set_nonblocking(true).unwrap();
+                let stream = tokio::net::TcpStream::from_std(client).unwrap();
+                let mut client = Client { stream, buf: Vec::new() };
+                statuses = answers(&mut client).await.0;
+            }
+            let requests = node.so_far().1;
+            assert_eq!(statuses, vec![200; requests], "{at}: {requests} sent on");
+            assert!(requests == 1 || at > 0, "{at}: closed on one that was there before");
+            served += requests;
+            closed += 1 - requests;
+        }
+        println!("{served} served, {closed} closed");
+        assert!(served > 0 && closed > 0, "one of the two was never seen: {served}, {closed}");
+    });
+}
+
 /// Guards against an outright close, which resets the connection under what its client has not read yet when the client
 /// sends once more in that moment.
 #[test]
--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -110,6 +110,36 @@
     });
 }
 
+/// Guards against a further attempt that tells its node the whole time of its client, of which part is gone.
+#[test]
+fn a_further_attempt_tells_its_node_what_is_left() {
+    run(async {
+        let nodes = [
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        ];
+        let router = Router::new(Chat, &[], |_| {}).await;
+        let rows = nodes.iter().enumerate();
+        router.list(rows.map(|(n, l)| row(&format!("s-{n}"), l.local_addr().unwrap(), "active")));
+        let mut client = Client::to(router.addr).await;
+        client.send(&platform("Req-Deadline-Ms: 3000\r\n", "{}")).await;
+        let mut left = Vec::new();
+        for _ in 0..2 {
+            let stream = tokio::select! {
+                accepted = nodes[0].accept() => accepted.unwrap().0,
+                accepted = nodes[1].accept() => accepted.unwrap().0,
+            };
+            let mut node = Client { stream, buf: Vec::new() };
+            let (head, _) = node.message().await.unwrap();
+            let told: u64 = field(&head, "req-deadline-ms").unwrap().parse().unwrap();
+            left.push(told);
+            tokio::time::sleep(100 * MS).await;
+            node.send("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n").await;
+        }
+        assert!(left[0] <= 3000 && left[1] + 100 <= left[0], "{left:?}");
+    });
+}
+
 #[test]
 fn a_connection_closed_while_idle_is_noticed_and_an_old_one_retired() {
     run(async {
