Play closes and clients that leave at both fronts

Need: the newest terms hold at both fronts; the tests of closes, of new connections and of clients that leave while a connection comes up played the platform's alone. Seen to fail without the look at the client and with an outright close.

--- a/router/tests/closing.rs
+++ b/router/tests/closing.rs
@@ -32,18 +32,20 @@
 fn a_request_in_the_moment_of_the_close_is_answered_or_never_sent_on() {
     run(async {
         let (mut served, mut closed) = (0, 0);
-        for at in 0..60 {
+        for (at, front) in (0..60).flat_map(|at| [(at, 0), (at, 1)]) {
             let node = Node::new(Chat).await;
             let router = Router::new(Chat, &[&node], |l| l.last_look = Duration::from_millis(2)).await;
-            let mut client = Client::to(router.addr).await;
-            assert_eq!(client.ask("").await.0, 200);
+            let (addr, request) = fronts(&router)[front];
+            let mut client = Client::to(addr).await;
+            client.send(&request()).await;
+            assert_eq!(client.answer().await.0, 200);
             node.so_far();
             router.host.drain.enter(Stage::Closing);
             let begun = Instant::now();
             until(|| begun.elapsed() >= Duration::from_micros(100) * at).await;
             // One of two sends more behind it: after the last answer, none of that is sent on.
             let more = at as usize % 2 * 2;
-            let sent = (0..=more).map(|_| platform("", "{}")).collect::<String>();
+            let sent = (0..=more).map(|_| request()).collect::<String>();
             // Once the connection is closed for good, not even this goes out.
             let _ = client.stream.try_write(sent.as_bytes());
             let (statuses, last) = answers(&mut client).await;
@@ -67,19 +69,20 @@
 fn who_connects_in_the_moment_of_the_close_is_answered_or_never_sent_on() {
     run(async {
         let (mut served, mut closed) = (0, 0);
-        for at in 0..60 {
+        for (at, front) in (0..60).flat_map(|at| [(at, 0), (at, 1)]) {
             let node = Node::new(Chat).await;
             let router = Router::new(Chat, &[&node], |l| l.last_look = Duration::from_millis(2)).await;
-            let before = (at == 0).then(|| std::net::TcpStream::connect(router.addr).unwrap());
+            let (addr, request) = fronts(&router)[front];
+            let before = (at == 0).then(|| std::net::TcpStream::connect(addr).unwrap());
             router.host.drain.enter(Stage::Closing);
             let begun = Instant::now();
             until(|| begun.elapsed() >= Duration::from_micros(100) * at).await;
             // The connection is up before the router's tasks have another turn.
-            let client = before.or_else(|| std::net::TcpStream::connect(router.addr).ok());
+            let client = before.or_else(|| std::net::TcpStream::connect(addr).ok());
             let mut statuses = Vec::new();
             if let Some(mut client) = client {
                 // Once the connection is closed for good, not even this goes out.
-                let _ = client.write_all(platform("", "{}").as_bytes());
+                let _ = client.write_all(request().as_bytes());
                 client.set_nonblocking(true).unwrap();
                 let stream = tokio::net::TcpStream::from_std(client).unwrap();
                 let mut client = Client { stream, buf: Vec::new() };
@@ -101,7 +104,7 @@
 #[test]
 fn a_resting_connection_that_is_closed_takes_what_still_comes_without_a_reset() {
     run(async {
-        for parting in [true, false] {
+        for (parting, front) in [(true, 0), (true, 1), (false, 0), (false, 1)] {
             let node = Node::new(Chat).await;
             let router = Router::new(Chat, &[&node], |l| {
                 l.last_look = Duration::from_millis(1);
@@ -110,14 +113,16 @@
                 }
             })
             .await;
-            let mut client = Client::to(router.addr).await;
-            assert_eq!(client.ask("").await.0, 200);
+            let (addr, request) = fronts(&router)[front];
+            let mut client = Client::to(addr).await;
+            client.send(&request()).await;
+            assert_eq!(client.answer().await.0, 200);
             if parting {
                 router.host.drain.enter(Stage::Closing);
             }
             assert_eq!(client.stream.read(&mut [0; 9]).await.unwrap(), 0, "shut down");
             for _ in 0..3 {
-                client.send(&platform("", "{}")).await;
+                client.send(&request()).await;
                 turns(200).await;
                 let error = client.stream.take_error().unwrap();
                 assert!(error.is_none(), "parting {parting}: {error:?}");
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -351,6 +351,26 @@
     )
 }
 
+pub const MESSAGE: &str = r#"{"model":"refund-chat","max_tokens":64,"stream":true,"system":"You help travellers.",
+"messages":[{"role":"user","content":[{"type":"text","text":"Where is my refund?"}]}]}"#;
+
+/// A request of the messages API.
+pub fn messages(fields: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /v1/messages HTTP/1.1\r\nHost: m\r\nx-partner: haendlerbund\r\n{fields}\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// A front of a router: where it is, and a request there.
+pub type At = (SocketAddr, fn() -> String);
+
+/// Both of them.
+pub fn fronts(router: &Router) -> [At; 2] {
+    [(router.addr, || platform("", "{}")), (router.messages, || messages("", MESSAGE))]
+}
+
 pub struct Router {
     pub host: Rc<Host>,
     pub addr: SocketAddr,
--- a/router/tests/dialects.rs
+++ b/router/tests/dialects.rs
@@ -7,20 +7,9 @@
 use common::*;
 use tallypin_router::dialect::Dialect;
 
-const BODY: &str = r#"{"model":"refund-chat","max_tokens":64,"stream":true,"system":"You help travellers.",
-"messages":[{"role":"user","content":[{"type":"text","text":"Where is my refund?"}]}]}"#;
-
-fn ask(fields: &str, body: &str) -> String {
-    let length = body.len();
-    format!(
-        "POST /v1/messages HTTP/1.1\r\nHost: m\r\nx-partner: haendlerbund\r\n{fields}\
-         Content-Length: {length}\r\n\r\n{body}"
-    )
-}
-
 async fn answer(router: &Router, fields: &str, body: &str) -> (u16, String, String, bool) {
     let mut client = Client::to(router.messages).await;
-    client.send(&ask(fields, body)).await;
+    client.send(&messages(fields, body)).await;
     client.answer().await
 }
 
@@ -60,7 +49,7 @@
         }
         plan.borrow_mut().clear();
         plan.borrow_mut().extend(faults);
-        let (status, head, body, whole) = answer(&router, fields, BODY).await;
+        let (status, head, body, whole) = answer(&router, fields, MESSAGE).await;
         let again = field(&head, "retry-after").unwrap_or("-");
         seen.push(format!("{name}: {status} whole {whole} retry-after {again} {:?}", named(&body)));
     }
@@ -69,21 +58,21 @@
     plan.borrow_mut().extend([Fault::Mute, Fault::None]);
     let other = async {
         until(|| plan.borrow().len() == 1).await;
-        answer(&router, "", BODY).await
+        answer(&router, "", MESSAGE).await
     };
-    let ((status, head, body, _), (served, ..)) = tokio::join!(answer(&router, late, BODY), other);
+    let ((status, head, body, _), (served, ..)) = tokio::join!(answer(&router, late, MESSAGE), other);
     assert!(body.contains("timeout_error"), "{body}");
     seen.push(format!("deadline: {status} retry-after {:?}, other {served}", field(&head, "retry-after")));
     // The rest of a broken stream is asked for.
     router.list([row("rest", nodes[0].addr, "active")]);
-    let body = BODY.replace("}]}]}", "}]},{\"role\":\"assistant\",\"content\":\"Your\"}]}");
+    let body = MESSAGE.replace("}]}]}", "}]},{\"role\":\"assistant\",\"content\":\"Your\"}]}");
     seen.push(format!("rest: {}", answer(&router, "x-resume-of: msg_1\r\n", &body).await.0));
     // The client leaves while it waits.
     let rows = nodes.iter().enumerate().map(|(i, n)| row(&format!("left-{i}"), n.addr, "active"));
     router.list(rows);
     *plan.borrow_mut() = [Fault::Mute; 2].into();
     let mut client = Client::to(router.messages).await;
-    client.send(&ask("", BODY)).await;
+    client.send(&messages("", MESSAGE)).await;
     until(|| plan.borrow().len() < 2).await;
     drop(client);
     until(|| router.open() == 0).await;
@@ -108,7 +97,7 @@
             let node = Node::new(dialect).await;
             node.plan(&[Fault::UnknownEvent, Fault::Break]);
             let router = Router::new(dialect, &[&node], |_| {}).await;
-            let body = BODY.replace("\"stream\":true,", "");
+            let body = MESSAGE.replace("\"stream\":true,", "");
             let (status, head, text, _) = answer(&router, "", &body).await;
             let mut message: serde_json::Value = serde_json::from_str(&text).unwrap();
             assert_eq!((status, message["id"].as_str()), (200, field(&head, "request-id")));
@@ -151,20 +140,20 @@
 fn errors_have_the_shape_of_the_api() {
     run(async {
         let router = Router::new(Dialect::Chat, &[], |l| l.body = 4096).await;
-        let long = BODY.replace("travellers", &"x".repeat(5000));
+        let long = MESSAGE.replace("travellers", &"x".repeat(5000));
         let mut said = Vec::new();
         for (what, text) in [
-            ("no JSON", ask("", "{")),
-            ("no bound", ask("", &BODY.replace("\"max_tokens\":64,", ""))),
-            ("a picture", ask("", &BODY.replace("\"type\":\"text\"", "\"type\":\"image\""))),
-            ("nobody", ask("", BODY).replace("haendlerbund", "nobody")),
-            ("no partner", ask("", BODY).replace("x-partner", "x-other")),
-            ("a bad wait", ask("x-deadline-ms: soon\r\n", BODY)),
-            ("another model", ask("", &BODY.replace("refund-chat", "poet"))),
-            ("another path", ask("", BODY).replace("/messages", "/massages")),
-            ("another method", ask("", BODY).replace("POST", "PUT")),
-            ("too long", ask("", &long)),
-            ("no node", ask("", BODY)),
+            ("no JSON", messages("", "{")),
+            ("no bound", messages("", &MESSAGE.replace("\"max_tokens\":64,", ""))),
+            ("a picture", messages("", &MESSAGE.replace("\"type\":\"text\"", "\"type\":\"image\""))),
+            ("nobody", messages("", MESSAGE).replace("haendlerbund", "nobody")),
+            ("no partner", messages("", MESSAGE).replace("x-partner", "x-other")),
+            ("a bad wait", messages("x-deadline-ms: soon\r\n", MESSAGE)),
+            ("another model", messages("", &MESSAGE.replace("refund-chat", "poet"))),
+            ("another path", messages("", MESSAGE).replace("/messages", "/massages")),
+            ("another method", messages("", MESSAGE).replace("POST", "PUT")),
+            ("too long", messages("", &long)),
+            ("no node", messages("", MESSAGE)),
         ] {
             let mut client = Client::to(router.messages).await;
             client.send(&text).await;
@@ -174,7 +163,7 @@
         let mut client = Client::to(router.messages).await;
         let mut statuses = Vec::new();
         while statuses.len() < 10 && !statuses.contains(&429) {
-            client.send(&ask("", BODY).replace("haendlerbund", "grenzstellen")).await;
+            client.send(&messages("", MESSAGE).replace("haendlerbund", "grenzstellen")).await;
             statuses.push(client.answer().await.0);
         }
         assert!(statuses.contains(&429), "{statuses:?}");
--- a/router/tests/gone.rs
+++ b/router/tests/gone.rs
@@ -19,9 +19,10 @@
             node.plan(&[Fault::Mute; 8]);
             let router = Router::new(Chat, &[&node], |_| {}).await;
             let mut clients = Vec::new();
-            for _ in 0..8 {
-                let mut client = Client::to(router.addr).await;
-                client.send(&platform("", "{}")).await;
+            for n in 0..8 {
+                let (addr, request) = fronts(&router)[n % 2];
+                let mut client = Client::to(addr).await;
+                client.send(&request()).await;
                 clients.push(client);
             }
             // A task beside the router's has its turns between theirs.
@@ -64,8 +65,9 @@
             first.plan(&[Fault::Mute]);
             second.plan(&[Fault::Mute]);
             assert_eq!(first.so_far().1 + second.so_far().1, 1);
-            let mut client = Client::to(router.addr).await;
-            client.send(&platform("", "{}")).await;
+            let (addr, request) = fronts(&router)[wait / 10 % 2];
+            let mut client = Client::to(addr).await;
+            client.send(&request()).await;
             let host = router.host.clone();
             let leaves = spawn_local(async move {
                 // One that is counted is up or on its way.
