--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -53,6 +53,7 @@
     asked: Asked,
     /// The body as model nodes are to get it; `None`: as it came.
     body: Option<Vec<u8>>,
+    idempotency_key: Option<Bytes>,
 }
 
 /// Why not.
@@ -118,15 +119,17 @@
             Dialect::Messages => Some(asked.streaming_body()),
             Dialect::Chat => Some(asked.chat_body()),
         };
-        Ok(Understood { ask, asked, body })
+        let idempotency_key = request.idempotency_key()?;
+        Ok(Understood { ask, asked, body, idempotency_key })
     }
 
     /// Answers one request.
     pub async fn answer(&self, host: &Rc<Host>, wire: &mut Wire, request: Incoming) -> io::Result<Then> {
-        let Understood { ask, asked, body } = match self.read(host, &request, host.clock.now()) {
-            Ok(understood) => understood,
-            Err(why) => return refuse(host, wire, why).await,
-        };
+        let Understood { ask, asked, body, idempotency_key } =
+            match self.read(host, &request, host.clock.now()) {
+                Ok(understood) => understood,
+                Err(why) => return refuse(host, wire, why).await,
+            };
         if host.full() {
             return turn(host, wire, Turned::Full).await;
         }
@@ -146,6 +149,7 @@
             method: Bytes::from_static(b"POST"),
             target: Bytes::from_static(host.nodes.dialect.path()),
             body,
+            idempotency_key,
             text: !(same && asked.stream),
             client: request.client,
         };
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -54,6 +54,11 @@
         self.target.split(|b| *b == b'?').next().unwrap_or_default()
     }
 
+    /// The client's idempotency key, if it sent one.
+    pub fn idempotency_key(&self) -> Result<Option<Bytes>, Bad> {
+        Ok(self.head.one("idempotency-key")?.cloned())
+    }
+
     /// What is left at `now` of a wait that began when the client sent.
     pub fn left(&self, now: Nanos, wait: Nanos) -> Nanos {
         wait.saturating_sub(now.saturating_sub(self.since))
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -82,6 +82,10 @@
         Ok(read) => read,
         Err(why) => return turn(host, wire, why).await,
     };
+    let idempotency_key = match request.idempotency_key() {
+        Ok(key) => key,
+        Err(bad) => return turn(host, wire, bad.into()).await,
+    };
     if host.full() {
         return turn(host, wire, Turned::Full).await;
     }
@@ -97,7 +101,7 @@
         (target, body) =
             (Bytes::from_static(host.nodes.dialect.path()), HeldBody { bytes: bytes.into(), reserved });
     }
-    let prompt = Prompt { id, method, target, body, text: !same, client };
+    let prompt = Prompt { id, method, target, body, idempotency_key, text: !same, client };
     let Some(mut ticket) = host.submit(ask, prompt) else {
         return turn(host, wire, Turned::Twice).await;
     };
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -84,6 +84,8 @@
     pub target: Bytes,
     /// The body, counted among those held.
     pub body: HeldBody,
+    /// The client's idempotency key: a model node that has seen it drops the repeat.
+    pub idempotency_key: Option<Bytes>,
     /// The front wants the text of events, not only their bytes.
     pub text: bool,
     /// Where its client is, where a balancer says so; for the log.
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -337,6 +337,10 @@
         for part in [&p.method[..], b" ", &p.target, b" HTTP/1.1\r\nHost: backend.local\r\nReq-Id: ", &p.id] {
             head.extend_from_slice(part);
         }
+        if let Some(key) = &p.idempotency_key {
+            head.extend_from_slice(b"\r\nIdempotency-Key: ");
+            head.extend_from_slice(key);
+        }
         let rest = format!(
             "\r\nReq-Deadline-Ms: {left}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             body.len()
--- a/router/tests/rules.rs
+++ b/router/tests/rules.rs
@@ -140,6 +140,39 @@
     });
 }
 
+/// Guards against a repeat that a node takes for a new request, as the client's key was dropped on the way.
+#[test]
+fn each_attempt_carries_the_client_s_idempotency_key() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let router = Router::new(Chat, &[&node], |_| {}).await;
+        for (front, (addr, request)) in fronts(&router).into_iter().enumerate() {
+            let with =
+                |fields: &str| request().replacen("Content-Length", &format!("{fields}Content-Length"), 1);
+            let mut client = Client::to(addr).await;
+            client.send(&with("idempotency-key: k-1\r\n")).await;
+            assert_eq!(client.answer().await.0, 200, "front {front}");
+            let (head, _) = node.next_request().await;
+            assert_eq!(field(&head, "idempotency-key"), Some("k-1"), "front {front}: {head}");
+            client.send(&request()).await;
+            assert_eq!(client.answer().await.0, 200);
+            let (head, _) = node.next_request().await;
+            assert_eq!(field(&head, "idempotency-key"), None, "front {front}: the key of another request");
+            client.send(&with("Idempotency-Key: k-1\r\nIdempotency-Key: k-2\r\n")).await;
+            assert_eq!(client.answer().await.0, 400, "front {front}: ambiguous");
+        }
+        let (first, second) = (Node::new(Chat).await, Node::new(Chat).await);
+        first.plan(&[Fault::Decline]);
+        second.plan(&[Fault::Decline]);
+        let router = Router::new(Chat, &[&first, &second], |_| {}).await;
+        Client::to(router.addr).await.ask("Idempotency-Key: k-3\r\n").await;
+        for node in [&first, &second] {
+            let (head, _) = node.next_request().await;
+            assert_eq!(field(&head, "idempotency-key"), Some("k-3"), "{head}");
+        }
+    });
+}
+
 #[test]
 fn a_connection_closed_while_idle_is_noticed_and_an_old_one_retired() {
     run(async {
