Close idle connections in order for room, look again before each write, tell peers by digest

- front/mod.rs, wait_for_request: a connection whose room was wanted was closed outright, under a request that had arrived since the last look at the sockets.
It is read once more, then shut down and read for last_look. clients.rs: while one that was told to close is still open, the accept loop tells no other.
- node.rs, reach: a pooled connection that its node closed between the pick and the write got the request: a reset.
A node that drained, moved or restarted after the pick was written to.
Both are looked at after the last wait.
- node_list.rs: news of the former list address, read in the same turn, was taken after the new address's list.
Changes older than a version that is known undid what came after them; they are ignored, a whole list never is.
- http.rs: a request sent ahead had its deadline from when it was looked at, not from its first byte.
- report.rs: reports named tenants by index: while settings are rolled out, one tenant's hits drained another's bucket.
A digest of tenants' names, their order and the form stands in front; what differs is counted, logged once, dropped.
- shutdown.rs: SIGTERM was taken over only after the listener was bound; an error of accept hid the closing stage.
- Turns: one pipelined request and four reads, in place of the runtime's 128.

--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -244,6 +244,7 @@
             gateways: plan.routers,
             zone: ZoneId(0),
             tenants: plan.tenants.clone(),
+            digest: Digest::default(),
             classes: plan.classes.clone(),
             try_limit: 4,
             parallel_tries: true,
--- a/router/src/checks/agent.rs
+++ b/router/src/checks/agent.rs
@@ -50,7 +50,7 @@
     // What the balancer may have sent is read before the close, which would else reset the line away. Whoever
     // stays on after its answer holds no place that is wanted.
     tokio::select! {
-        _ = timeout_at(by, linger(call.wire)) => {}
+        _ = timeout_at(by, linger(call.wire, call.host.limits.linger)) => {}
         () = idle.unwanted() => {}
     }
 }
--- a/router/src/checks/http.rs
+++ b/router/src/checks/http.rs
@@ -56,7 +56,7 @@
             return;
         }
         if !keeps {
-            let _ = timeout(budget, linger(call.wire)).await;
+            let _ = timeout(budget, linger(call.wire, call.host.limits.linger)).await;
             return;
         }
     }
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -93,6 +93,11 @@
         true
     }
 
+    /// Whether one was told to close and is still open.
+    pub fn room_is_coming(&self) -> bool {
+        self.leaving.get() > 0
+    }
+
     /// Waits until one has closed.
     pub async fn one_closed(&self) {
         self.closed.notified().await;
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes};
 pub use messages::MessagesFront;
@@ -112,7 +112,9 @@
     loop {
         // Beyond this, connections wait where the machine holds them, and cost no descriptor.
         while host.clients.open() >= most {
-            host.clients.make_room();
+            if !host.clients.room_is_coming() {
+                host.clients.make_room();
+            }
             host.clients.one_closed().await;
         }
         let accepted = tokio::select! {
@@ -126,8 +128,11 @@
                 let (client, idle) = host.clients.enter();
                 tokio::task::spawn_local(connection(host.clone(), client, idle, stream, front.clone()));
             }
-            // Out of descriptors, or the client was gone already: neither ends the service.
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+            // Out of descriptors, or the client was gone already: neither ends the service, nor holds up its end.
+            Err(_) => tokio::select! {
+                () = parted(&host, Stage::Closing) => return,
+                () = tokio::time::sleep(host.limits.accept_again) => {}
+            },
         }
     }
 }
@@ -140,32 +145,35 @@
 }
 
 async fn connection(host: Rc<Host>, client: Client, idle: Idling, stream: TcpStream, front: Rc<Front>) {
-    let (host, crowded, mut idle) = (&host, client.crowded, Some(idle));
+    let (host, crowded) = (&host, client.crowded);
     let mut wire = Wire::new(stream);
-    let from = match &mut idle {
-        Some(idle) => tokio::select! {
-            biased;
-            origin = host.outward.origin(front.door(), &mut wire) => origin,
-            () = idle.unwanted() => None,
-        },
-        None => None,
+    let mut first_idle = idle;
+    let origin = tokio::select! {
+        biased;
+        origin = host.outward.origin(front.door(), &mut wire) => origin,
+        () = first_idle.unwanted() => return linger(wire, host.limits.last_look).await,
     };
-    let Some(Origin { client: from }) = from else { return };
+    let Some(Origin { client: from }) = origin else { return };
+    let mut first_idle = Some(first_idle);
     let mut keep_alive = KeepAlive::new(Instant::now(), crowded);
     loop {
         let rest = keep_alive.rest(&host.limits);
-        match wait_for_request(host, idle.take().unwrap_or_else(|| client.idle()), &mut wire, rest).await {
-            Resting::Asks => {}
-            Resting::Over => return linger(wire).await,
-            Resting::Unwanted => return,
+        let mut idle = first_idle.take().unwrap_or_else(|| client.idle());
+        match wait_for_request(host, &mut idle, &mut wire, rest).await {
+            Resting::Asks => drop(idle),
+            Resting::Over => return linger(wire, host.limits.linger).await,
+            // It counts as leaving until it has closed: nobody else is closed for the room that it gives.
+            Resting::Unwanted => return linger(wire, host.limits.last_look).await,
         }
-        let since = host.clock.now();
+        let since = host.clock.at(wire.first_read());
         let begun = keep_alive.begins(Instant::now(), &host.limits);
         if let Some(pause) = begun.pause {
             tokio::time::sleep(pause).await;
         }
         let read = timeout_at(begun.whole_by.into(), read_request(host, &mut wire, since));
-        let request = match read.await.unwrap_or(Ok(Err(Turned::Slow))) {
+        let request = read.await.unwrap_or(Ok(Err(Turned::Slow)));
+        wire.message_taken();
+        let request = match request {
             Ok(request) => request.map(|r| Incoming { client: from, ..r }),
             Err(_) => return,
         };
@@ -181,7 +189,7 @@
         };
         let Ok(then) = then else { return };
         if !keep_alive.answered(Instant::now(), then, keeps, host.drain.stage()) {
-            return linger(wire).await;
+            return linger(wire, host.limits.linger).await;
         }
     }
 }
@@ -192,22 +200,32 @@
     Asks,
     /// Its time is over, or its client's end has come: what its client may send in this moment is not to reset it.
     Over,
-    /// Its room is needed at once.
+    /// Its room is needed at once, and no request has arrived.
     Unwanted,
 }
 
 /// Waits until a request begins, or the connection is to be closed instead.
-async fn wait_for_request(host: &Host, mut idle: Idling, wire: &mut Wire, rest: Rest) -> Resting {
+async fn wait_for_request(host: &Host, idle: &mut Idling, wire: &mut Wire, rest: Rest) -> Resting {
     if !wire.buf.is_empty() {
+        // One request in a turn, however many a client sends ahead: the others' events would else wait.
+        tokio::task::yield_now().await;
         return Resting::Asks;
     }
     wire.rest();
-    tokio::select! {
+    let read = tokio::select! {
         biased;
-        more = wire.more() => if matches!(more, Ok(true)) { Resting::Asks } else { Resting::Over },
-        () = parted(host, rest.until) => Resting::Over,
-        () = idle.unwanted() => Resting::Unwanted,
-        () = tokio::time::sleep(rest.limit) => Resting::Over,
+        read = wire.more() => read,
+        () = parted(host, rest.until) => return Resting::Over,
+        // A request may have arrived since the event loop last looked at the sockets.
+        () = idle.unwanted() => match wire.arrived().await {
+            Some(read) => read,
+            None => return Resting::Unwanted,
+        },
+        () = tokio::time::sleep(rest.limit) => return Resting::Over,
+    };
+    match read {
+        Ok(true) => Resting::Asks,
+        _ => Resting::Over,
     }
 }
 
@@ -276,8 +294,9 @@
 }
 
 /// Closes a connection so that what was written last still arrives, a part of a stream that broke included: what the
-/// client goes on sending is taken for a while, as an outright close would reset the connection under the answer.
-pub async fn linger(mut wire: Wire) {
+/// client goes on sending is read for a while and dropped, as an outright close would reset the connection under the
+/// answer.
+pub async fn linger(mut wire: Wire, limit: Duration) {
     use tokio::io::AsyncWriteExt;
     let _ = wire.stream.shutdown().await;
     let rest = async {
@@ -288,7 +307,7 @@
             }
         }
     };
-    let _ = timeout(std::time::Duration::from_millis(500), rest).await;
+    let _ = timeout(limit, rest).await;
 }
 
 /// What a waiting client's front has to deal with next.
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -2,7 +2,7 @@
 //! answers written in one gathered write. Whatever is ambiguous is refused, never guessed.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncWriteExt, Interest};
@@ -289,31 +289,74 @@
     pub stream: TcpStream,
     /// What has arrived and is not used yet.
     pub buf: BytesMut,
+    /// When the first byte of `buf` was read.
+    first_read: Instant,
+    /// When the last byte of `buf` was read.
+    last_read: Instant,
+    /// Reads since the task last gave way to others.
+    reads: u8,
 }
 
 /// What a read asks for at least.
 const READ: usize = 8 << 10;
+/// After so many reads a task gives way to others, however much there is to read: an event of another connection would
+/// else wait for as many reads as the runtime allows, 128.
+const READS_IN_TURN: u8 = 4;
 
 impl Wire {
     /// A new connection. Small writes go out at once: events are small, and late is lost.
     pub fn new(stream: TcpStream) -> Wire {
         let _ = stream.set_nodelay(true);
-        Wire { stream, buf: BytesMut::new() }
+        let now = Instant::now();
+        Wire { stream, buf: BytesMut::new(), first_read: now, last_read: now, reads: 0 }
+    }
+
+    /// When the first byte of what has arrived and is not used yet was read.
+    pub fn first_read(&self) -> Instant {
+        self.first_read
+    }
+
+    /// A message has been taken off the front: whatever is left came with the last read, which completed the message.
+    pub fn message_taken(&mut self) {
+        self.first_read = self.last_read;
     }
 
     /// Reads more; false at the end of what the other side sends.
     pub async fn more(&mut self) -> io::Result<bool> {
+        if self.reads >= READS_IN_TURN {
+            self.reads = 0;
+            tokio::task::yield_now().await;
+        }
         loop {
             // Room is made when there is something to put there: most connections are idle most of the time.
             self.stream.readable().await?;
+            let empty = self.buf.is_empty();
             self.buf.reserve(READ);
             match self.stream.try_read_buf(&mut self.buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Ok(read? > 0),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.reads = 0,
+                read => {
+                    let read = read?;
+                    self.reads += 1;
+                    self.last_read = Instant::now();
+                    if empty {
+                        self.first_read = self.last_read;
+                    }
+                    return Ok(read > 0);
+                }
             }
         }
     }
 
+    /// Lets the event loop look at the sockets once more, then reads what has arrived; `None` if nothing has.
+    pub async fn arrived(&mut self) -> Option<io::Result<bool>> {
+        tokio::task::yield_now().await;
+        tokio::select! {
+            biased;
+            read = self.more() => Some(read),
+            () = std::future::ready(()) => None,
+        }
+    }
+
     /// Waits for the end of what the other side sends, whatever of it is not read yet: looks again after each `pause`, as
     /// bytes that are left unread would else wake it all the time.
     pub async fn ended(&self, pause: Duration) {
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -94,6 +94,10 @@
     pub last_word: Duration,
     /// Then connections that carry nothing are read for so long once more: a request may have crossed.
     pub last_look: Duration,
+    /// A connection that was shut down is read for so long at the most, so that its client gets all of the answer.
+    pub linger: Duration,
+    /// The accept loop waits so long after an error, such as want of descriptors.
+    pub accept_again: Duration,
     /// After that, what was taken may go on for so long.
     pub finish: Duration,
     /// The state is told to the log so often.
@@ -157,6 +161,8 @@
             owed_after: Duration::from_millis(600),
             last_word: kill - Duration::from_millis(400),
             last_look: Duration::from_millis(20),
+            linger: Duration::from_millis(500),
+            accept_again: Duration::from_millis(5),
             finish: Duration::from_secs(60),
             status: Duration::from_secs(5),
             come_back: Duration::from_millis(100),
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -21,7 +21,8 @@
 use tallypin_router::node_list::{self, Page};
 use tallypin_router::peers::Peers;
 use tallypin_router::reload::{self, Adopting, Running};
-use tallypin_router::{probe, shutdown, status};
+use tallypin_router::shutdown::{self, Termination};
+use tallypin_router::{probe, status};
 use tokio::net::TcpListener;
 
 /// A command line, configuration or settings that can't be used.
@@ -195,12 +196,16 @@
     installation: Option<Installation>,
     log: Rc<Log>,
 ) -> Ended<()> {
-    // First of all: until it stands, the signal would end the program.
+    // First of all: until they are taken over, these signals end the program at once.
     let hangup = reload::on_hangup()?;
+    let termination = Termination::new()?;
     let (listen, known, running) = (config.listen, config.known.clone(), Running::of(&config));
     let name = config.name.clone();
     let peers = match config.peers.clone() {
-        Some(addresses) => Some(Peers::new(addresses, config.deployment.decisions.me).await?),
+        Some(addresses) => {
+            let decisions = &config.deployment.decisions;
+            Some(Peers::new(addresses, decisions.me, decisions.digest).await?)
+        }
         None => None,
     };
     let messages = installation.as_ref().and_then(|i| i.messages.clone());
@@ -248,7 +253,7 @@
     let read = move || reread(settings.as_deref());
     tokio::task::spawn_local(reload::keep(host.clone(), hangup, running, adopting, read));
     tracing::info!(target: "router", name, %listen, "listens");
-    shutdown::on_signal(host.clone(), board).await?;
+    shutdown::on_signal(host.clone(), board, termination).await;
     let tallies = host.with(|core, _| core.tallies().clone());
     tracing::info!(target: "router", name, ?tallies, "ends");
     Ok(())
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -26,6 +26,8 @@
     /// Whom it was opened to. The address alone does not say that: a new node may stand where one has gone,
     /// and what was opened to that one is dead.
     to: Place,
+    /// It has carried an answer before.
+    reused: bool,
     open: Rc<Cell<usize>>,
 }
 
@@ -174,6 +176,7 @@
     fn give_back(&self, mut link: Link) {
         if self.listed.borrow().get(&link.to.id).is_some_and(|n| n.place == link.to) {
             link.wire.rest();
+            link.reused = true;
             let idle = Idle { since: Instant::now(), link };
             self.idle.borrow_mut().entry(idle.link.to.id).or_default().push(idle);
         }
@@ -189,6 +192,12 @@
         oldest.map(|links| links.remove(0)).is_some()
     }
 
+    /// Whether a connection still leads to a node that takes work: it may have been told to drain, have moved or have
+    /// started again since the connection was asked for.
+    fn takes_work(&self, place: &Place) -> bool {
+        self.listed.borrow().get(&place.id).is_some_and(|node| node.ready && node.place == *place)
+    }
+
     /// A connection to a node. What fails for want of anything here is *skipped*, not *refused*: it says
     /// nothing of the node, which the module would else shun.
     async fn reach(&self, id: ReplicaId) -> Result<Link, Outcome> {
@@ -223,7 +232,7 @@
 
 impl Count {
     fn into_link(mut self, wire: Wire, to: Place) -> Link {
-        Link { wire, to, open: self.0.take().unwrap_or_default() }
+        Link { wire, to, reused: false, open: self.0.take().unwrap_or_default() }
     }
 }
 
@@ -279,13 +288,10 @@
     }
 
     async fn stream(&mut self) -> AttemptEnd {
-        let mut link = match self.host.nodes.reach(self.node).await {
+        let mut link = match self.reach().await {
             Ok(reached) => reached,
             Err(outcome) => return outcome.into(),
         };
-        // A client may have left while the connection came up, and both be news of one moment: so what the sockets
-        // have to say is taken up once more, and a front that hears of its client's end calls this off first.
-        tokio::task::yield_now().await;
         // Broken before its last byte was written, the request cannot have run.
         let Some((head, body)) = self.message() else { return Outcome::Skipped.into() };
         if link.wire.write(head.chain(body)).await.is_err() {
@@ -329,6 +335,23 @@
         end
     }
 
+    /// A connection on which the request may be written now. Before that the event loop looks at the sockets once more:
+    /// a front that hears of its client's end calls this off first, the node list may have told that the node takes no
+    /// work, and an idle connection may have been closed by its node.
+    async fn reach(&self) -> Result<Link, Outcome> {
+        let nodes = &self.host.nodes;
+        loop {
+            let mut link = nodes.reach(self.node).await?;
+            tokio::task::yield_now().await;
+            if !nodes.takes_work(&link.to) {
+                return Err(Outcome::Skipped);
+            }
+            if !link.reused || !link.wire.spoilt() {
+                return Ok(link);
+            }
+        }
+    }
+
     fn message(&self) -> Option<(Bytes, Bytes)> {
         let p = self.prompt.as_ref()?;
         let left = self.deadline.saturating_sub(self.host.clock.now()) / 1_000_000;
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -1,7 +1,7 @@
 //! The node list: its form, and the watch on it. When to ask is the module's decision; a lost watch is told
 //! to it, and what is held goes on being used.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -108,6 +108,10 @@
 struct Place {
     at: SocketAddr,
     version: Cell<Option<u64>>,
+    /// The place that this one takes over from once it has told the list.
+    former: RefCell<Option<Rc<Place>>>,
+    /// Another place has taken over: what still arrives from this one is older than what is known.
+    retired: Cell<bool>,
     /// Told when it has said something of the list.
     answered: Notify,
     /// Told when a call has been answered: from then on the watch is held to other times.
@@ -115,6 +119,14 @@
     clock: ListClock,
 }
 
+impl Place {
+    /// Whether a page tells something newer than is known: a whole list always does, as its versions may begin anew,
+    /// but changes from before a version that is known would undo what came after them.
+    fn advances(&self, page: &Page) -> bool {
+        page.full || self.version.get().is_none_or(|known| page.version >= known)
+    }
+}
+
 /// A place and the watch on it, if there is one.
 struct Follow {
     place: Rc<Place>,
@@ -122,10 +134,12 @@
 }
 
 impl Follow {
-    fn new(at: SocketAddr, terms: Terms) -> Follow {
+    fn new(at: SocketAddr, terms: Terms, former: Option<Rc<Place>>) -> Follow {
         let place = Place {
             at,
             version: Cell::new(None),
+            former: RefCell::new(former),
+            retired: Cell::new(false),
             answered: Notify::new(),
             stands: Notify::new(),
             clock: ListClock::new(terms),
@@ -180,7 +194,7 @@
     let moving = Terms { again: Some(backoff), ..asked };
     let (terms, moving) = if pushed { (agent, agent) } else { (asked, moving) };
     let mut named = host.list_at.subscribe();
-    let mut current = Follow::new(*named.borrow_and_update(), terms);
+    let mut current = Follow::new(*named.borrow_and_update(), terms, None);
     let mut next: Option<Follow> = None;
     if pushed {
         current.place.clock.wanted(host.clock.now());
@@ -189,22 +203,24 @@
         let next_place = next.as_ref().map(|n| n.place.clone());
         tokio::select! {
             biased;
+            // First of all: a place that has answered has retired the one before it.
+            () = or_never(next_place.as_ref().map(|p| p.answered.notified())) => {
+                if let Some(told) = next.take() {
+                    tracing::info!(target: "node_list", at = %told.place.at, "node list: now from the new place");
+                    told.place.clock.hold_to(terms);
+                    current = told;
+                }
+            }
             moved = named.changed() => {
                 // It fails only when the sender is gone, and the host holds that.
                 if moved.is_err() { return };
                 // Asked at once, as the old place may end soon, and again soon if it fails: whoever never answers
                 // is not waited for.
-                let follow = Follow::new(*named.borrow_and_update(), moving);
+                let former = Some(current.place.clone());
+                let follow = Follow::new(*named.borrow_and_update(), moving, former);
                 follow.place.clock.wanted(host.clock.now());
                 next = Some(follow);
             }
-            () = or_never(next_place.as_ref().map(|p| p.answered.notified())) => {
-                if let Some(told) = next.take() {
-                    tracing::info!(target: "node_list", at = %told.place.at, "node list: now from the new place");
-                    told.place.clock.hold_to(terms);
-                    current = told;
-                }
-            }
             why = or_never(next.as_mut().map(|n| n.run(&host))) => {
                 tracing::warn!(target: "node_list", at = ?next.as_ref().map(|n| n.place.at), why, "node list: asked again");
             }
@@ -271,6 +287,17 @@
                         Ok(None) => break,
                         Err(NoObject) => return "malformed: no object".into(),
                     };
+                    if place.retired.get() {
+                        // This watch is dropped as soon as its follower has seen that the new place answered.
+                        return std::future::pending().await;
+                    }
+                    if !place.advances(&page) {
+                        tracing::warn!(target: "node_list", version = page.version, "node list: an older version, ignored");
+                        continue;
+                    }
+                    if let Some(former) = place.former.take() {
+                        former.retired.set(true);
+                    }
                     place.version.set(Some(page.version));
                     take(host, &page, if page.full { ListKind::Full } else { ListKind::Delta });
                     place.answered.notify_one();
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tallypin::api::PeerId;
+use tallypin::api::{Digest, PeerId};
+use tallypin::report::{self, Rejected};
 use tokio::net::UdpSocket;
 
 use crate::config::PeerAddresses;
@@ -15,12 +16,27 @@
 /// The most bytes of a message; a longer one would void the run.
 pub const MOST: usize = 256;
 
+/// Messages that were not gone by, since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// From addresses that are no peer's, or too long.
+    pub strangers: u64,
+    /// From peers with other tenants, or of another version.
+    pub foreign: u64,
+    /// Torn, or saying what cannot be.
+    pub malformed: u64,
+}
+
 /// The way to the other routers.
 #[derive(Debug)]
 pub struct Peers {
     socket: UdpSocket,
     addresses: PeerAddresses,
     me: usize,
+    /// What the own reports are told apart by.
+    digest: Digest,
+    /// Messages from strangers, from routers with other tenants or of another version, and malformed ones.
+    dropped: Cell<Dropped>,
     /// When another router was heard last.
     heard: Cell<Option<Instant>>,
     /// When another router last told of requests that it had served.
@@ -28,12 +44,20 @@
 }
 
 impl Peers {
-    /// Listens for the other routers; `me` is the own number.
-    pub async fn new(addresses: PeerAddresses, me: PeerId) -> io::Result<Peers> {
+    /// Listens for the other routers; `me` is the own number, `digest` what their reports have to agree in.
+    pub async fn new(addresses: PeerAddresses, me: PeerId, digest: Digest) -> io::Result<Peers> {
         let socket = UdpSocket::bind(addresses.listen).await?;
         // Until the runtime has seen that it can be written, what is sent at once would be lost.
         socket.writable().await?;
-        Ok(Peers { socket, addresses, me: me.0 as usize, heard: Cell::new(None), served: Cell::new(None) })
+        Ok(Peers {
+            socket,
+            addresses,
+            me: me.0 as usize,
+            digest,
+            dropped: Cell::default(),
+            heard: Cell::new(None),
+            served: Cell::new(None),
+        })
     }
 
     /// Tells all other routers. What cannot go out at once is lost, as it may be on the way.
@@ -61,14 +85,43 @@
                 continue;
             };
             // Whoever is not among the peers, or says too much, is not heard.
-            if let Some(i) = self.number(from).filter(|i| n <= MOST && *i != self.me) {
-                self.heard.set(Some(Instant::now()));
-                let counts = tallypin::report::decode(&buf[..n]).map(|(_, counts)| counts);
-                if counts.is_some_and(|c| c.iter().any(|(_, served)| *served > 0)) {
+            let Some(peer) = self.number(from).filter(|peer| n <= MOST && *peer != self.me) else {
+                self.note_dropped(|dropped| dropped.strangers += 1);
+                continue;
+            };
+            self.heard.set(Some(Instant::now()));
+            match report::decode(self.digest, &buf[..n]) {
+                Ok(report) if report.hits.iter().any(|(_, hits)| *hits > 0) => {
                     self.served.set(self.heard.get());
                 }
-                return (PeerId(i as u32), buf[..n].to_vec());
+                Ok(_) => {}
+                Err(Rejected::Foreign) => self.note_dropped(|dropped| dropped.foreign += 1),
+                Err(Rejected::Malformed) => self.note_dropped(|dropped| dropped.malformed += 1),
             }
+            return (PeerId(peer as u32), buf[..n].to_vec());
+        }
+    }
+
+    /// Messages that were not gone by, since the start.
+    pub fn dropped(&self) -> Dropped {
+        self.dropped.get()
+    }
+
+    /// Counts a message that is not gone by; the first of each kind is logged.
+    fn note_dropped(&self, count: impl FnOnce(&mut Dropped)) {
+        let before = self.dropped.get();
+        let mut now = before;
+        count(&mut now);
+        self.dropped.set(now);
+        let first = |before: u64, now: u64| before == 0 && now > 0;
+        if first(before.strangers, now.strangers) {
+            tracing::warn!(target: "peers", "a message that is no peer's or too long, dropped; later ones are counted");
+        }
+        if first(before.foreign, now.foreign) {
+            tracing::warn!(target: "peers", "a report of a router with other tenants or of another version, dropped");
+        }
+        if first(before.malformed, now.malformed) {
+            tracing::warn!(target: "peers", "a malformed report, dropped; later ones are counted");
         }
     }
 
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -1,9 +1,10 @@
 //! The planned end: on SIGTERM clients still come for a grace time and are served; then idle connections
 //! close, what was taken is finished, and the program ends.
 
+use std::io;
 use std::rc::Rc;
 
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at};
 
@@ -63,36 +64,54 @@
     }
 }
 
-/// Ends the router when the program is told to: returns when all that was taken is finished. With a board,
-/// balancers are told first, and the operator's order may end it too.
-pub async fn on_signal(host: Rc<Host>, board: Option<Rc<Board>>) -> std::io::Result<()> {
-    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let mut told = async || {
+/// SIGTERM and SIGINT, taken over before the router listens: one that came between the two would end the program under
+/// the clients that it has accepted.
+#[derive(Debug)]
+pub struct Termination {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Termination {
+    /// Takes the signals over.
+    pub fn new() -> io::Result<Termination> {
+        Ok(Termination {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the next of them.
+    pub async fn told(&mut self) {
         tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
         }
-    };
+    }
+}
+
+/// Ends the router when the program is told to: returns when all that was taken is finished. With a board,
+/// balancers are told first, and the operator's order may end it too.
+pub async fn on_signal(host: Rc<Host>, board: Option<Rc<Board>>, mut termination: Termination) {
     let Some(board) = board else {
-        told().await;
+        termination.told().await;
         drain(&host).await;
-        return Ok(());
+        return;
     };
     tokio::select! {
-        () = told() => {
+        () = termination.told() => {
             tracing::info!(target: "drain", balancers = board.askers().len(), "told to end");
             // Until the listeners close nothing is lost, so a second signal may cut the telling short.
             board.want(Wish::End, Order::Drain);
             signals::follow(&host, board.phase());
             tokio::select! {
                 () = closing(&board) => {}
-                () = told() => tracing::warn!(target: "drain", "told to end again: closes now"),
+                () = termination.told() => tracing::warn!(target: "drain", "told to end again: closes now"),
             }
         }
         () = closing(&board) => {}
     }
     close(&host, &board).await;
-    Ok(())
 }
 
 /// Waits for a drain to come to the closing of the listeners, and closes.
--- a/router/tests/cold_budget.rs
+++ b/router/tests/cold_budget.rs
@@ -37,6 +37,7 @@
         fall_multiple: FALL,
         // What is over a share is another test.s matter.
         tenants: Vec::new(),
+        digest: Digest::default(),
         ..common::config().deployment.decisions
     }
 }
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -463,3 +463,62 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// A client of the runtime's from one that blocks.
+pub fn into_client(stream: std::net::TcpStream) -> Client {
+    stream.set_nonblocking(true).unwrap();
+    Client { stream: TcpStream::from_std(stream).unwrap(), buf: Vec::new() }
+}
+
+/// The other way round: what it writes is in the system when the call returns.
+pub fn into_blocking(client: Client) -> std::net::TcpStream {
+    let stream = client.stream.into_std().unwrap();
+    stream.set_nonblocking(false).unwrap();
+    stream
+}
+
+/// What is waited for at the other end of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// Bytes that are not read yet.
+    Data,
+    /// The end of the stream.
+    End,
+}
+
+/// Waits, without giving the router a turn, until what was sent from sockets has arrived at their other ends, which are of
+/// this machine: its table of connections says so.
+pub fn arrived(sockets: &[&std::net::TcpStream], what: Arrival) {
+    const CLOSE_WAIT: &str = "08";
+    let coded = |address: SocketAddr| match address.ip() {
+        std::net::IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port()),
+        std::net::IpAddr::V6(_) => panic!("the tests use IPv4"),
+    };
+    let ends: Vec<_> = sockets
+        .iter()
+        .map(|s| format!(" {} {} ", coded(s.peer_addr().unwrap()), coded(s.local_addr().unwrap())))
+        .collect();
+    let has_arrived = |table: &str, end: &str| {
+        // Of its line there follow the state, and the bytes not acknowledged and not read.
+        let rest = table.split_once(end).map_or("", |(_, rest)| rest);
+        let mut fields = rest.split_ascii_whitespace();
+        let (state, queues) = (fields.next().unwrap_or(""), fields.next().unwrap_or(""));
+        match what {
+            Arrival::End => state == CLOSE_WAIT,
+            Arrival::Data => queues.split_once(':').is_some_and(|(_, unread)| unread != "00000000"),
+        }
+    };
+    loop {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        if ends.iter().all(|end| has_arrived(&table, end)) {
+            return;
+        }
+    }
+}
+
+/// Clients leave: their ends have arrived at the router's machine when this returns, and the router has had no turn.
+pub fn leave(clients: impl IntoIterator<Item = Client>) {
+    let streams: Vec<_> = clients.into_iter().map(into_blocking).collect();
+    streams.iter().for_each(|s| s.shutdown(std::net::Shutdown::Write).unwrap());
+    arrived(&streams.iter().collect::<Vec<_>>(), Arrival::End);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -3,6 +3,8 @@
 
 use std::fmt;
 
+pub use crate::report::Digest;
+
 /// A point in time or a span, in nanoseconds. Points are of the gateway's own monotonic clock.
 pub type Nanos = u64;
 
@@ -145,6 +147,8 @@
     pub zone: ZoneId,
     /// The tenants; may be empty.
     pub tenants: Vec<Tenant>,
+    /// What their numbers mean: peers' reports are heard only where it is the same.
+    pub digest: Digest,
     /// The classes; at least one.
     pub classes: Vec<Class>,
     /// The most attempts for a request. At least one.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -446,7 +446,7 @@
         }
         if self.set.peers && self.set.gateways > 1 && !self.set.tenants.is_empty() {
             counts.sort_unstable_by_key(|&(c, t)| (Reverse(c), t));
-            for bytes in report::encode((dt * 1000.0) as u64, &counts) {
+            for bytes in report::encode(self.set.digest, (dt * 1000.0) as u64, &counts) {
                 out.push(Action::Tell(bytes));
             }
         }
@@ -457,9 +457,9 @@
         if from == self.set.me || from.0 >= self.set.gateways || self.set.tenants.is_empty() {
             return;
         }
-        let Some((ms, counts)) = report::decode(bytes) else { return };
-        let span = (ms.max(1) as f64 / 1000.0).max(0.01);
-        for (tenant, count) in counts {
+        let Ok(report) = report::decode(self.set.digest, bytes) else { return };
+        let span = (report.span_ms.max(1) as f64 / 1000.0).max(0.01);
+        for (tenant, count) in report.hits {
             if tenant as usize >= self.buckets.len() {
                 continue;
             }
--- a/src/names.rs
+++ b/src/names.rs
@@ -14,6 +14,12 @@
     h.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1
 }
 
+/// The digest of a text, the same in every process.
+pub(crate) fn digest(text: &[u8]) -> u64 {
+    // The low bits of a product are its weakest, and the lowest is always 1.
+    hash(text) >> 20
+}
+
 /// The number of a model node, from the name it has at every router.
 pub fn node(name: &str) -> ReplicaId {
     ReplicaId(hash(name.as_bytes()))
--- a/src/report.rs
+++ b/src/report.rs
@@ -1,12 +1,55 @@
-//! The coding of served-hit reports: a version byte, the span in ms, then (tenant, hits) pairs, all as
-//! varints. What is counted, when it is told and what is made of it stands in `choice.rs`.
+//! The coding of served-hit reports: a digest of what the numbers of tenants mean, the span in ms, then (tenant, hits)
+//! pairs, all but the digest as varints. What is counted, when it is told and what is made of it stands in `choice.rs`.
 
-const VERSION: u8 = 1;
+use crate::names;
+
+/// The form of reports; hashed into each digest, so that another form is another digest.
+const FORM: &str = "served hits, form 2";
 /// The most bytes of a message.
 const MOST: usize = 256;
 /// A count above this is no count.
 const ABSURD: u64 = 1_000_000;
 
+/// Stands for the tenants of a gateway's settings, by name and order, and for the form of reports. A tenant's number means
+/// the same at two gateways only if their digests agree: not while a change of the settings is being rolled out, nor
+/// between versions of the program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Digest([u8; Digest::LENGTH]);
+
+impl Digest {
+    /// One of 16 million: enough to tell configurations apart, and few bytes, which have a price.
+    const LENGTH: usize = 3;
+
+    /// The digest of tenants with these names, in this order.
+    pub fn of_tenants<'a>(names: impl IntoIterator<Item = &'a str>) -> Digest {
+        let mut text = FORM.to_string();
+        for name in names {
+            // The length in front: no two lists of names make one text.
+            text += &format!("\n{} {name}", name.len());
+        }
+        let [.., a, b, c] = names::digest(text.as_bytes()).to_be_bytes();
+        Digest([a, b, c])
+    }
+}
+
+/// Why a message is no report to go by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejected {
+    /// Its sender has other tenants, or reports in another form.
+    Foreign,
+    /// It is too long, torn, or says what cannot be.
+    Malformed,
+}
+
+/// A report: what a gateway has served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Within so many milliseconds.
+    pub span_ms: u64,
+    /// Tenants and their hits.
+    pub hits: Vec<(u32, u32)>,
+}
+
 fn put(mut x: u64, to: &mut Vec<u8>) {
     while x >= 0x80 {
         to.push(x as u8 | 0x80);
@@ -29,7 +72,7 @@
 }
 
 /// Messages that hold `counts` of (hits, tenant) in the order given.
-pub fn encode(ms: u64, counts: &[(u32, u32)]) -> Vec<Vec<u8>> {
+pub fn encode(digest: Digest, ms: u64, counts: &[(u32, u32)]) -> Vec<Vec<u8>> {
     let mut all: Vec<Vec<u8>> = Vec::new();
     for &(count, tenant) in counts {
         let mut pair = Vec::new();
@@ -38,31 +81,36 @@
         match all.last_mut() {
             Some(last) if last.len() + pair.len() <= MOST => last.extend(pair),
             _ => {
-                let mut head = vec![VERSION];
-                put(ms, &mut head);
-                head.extend(pair);
-                all.push(head);
+                let mut message = digest.0.to_vec();
+                put(ms, &mut message);
+                message.extend(pair);
+                all.push(message);
             }
         }
     }
     all
 }
 
-/// The span and the (tenant, hits) of a message; nothing if any part of it is off.
-pub fn decode(bytes: &[u8]) -> Option<(u64, Vec<(u32, u32)>)> {
-    if bytes.len() > MOST || bytes.first() != Some(&VERSION) {
-        return None;
+/// Reads a message that a gateway with the same digest has written; all of it or nothing.
+pub fn decode(digest: Digest, bytes: &[u8]) -> Result<Report, Rejected> {
+    if bytes.len() > MOST {
+        return Err(Rejected::Malformed);
     }
-    let mut at = 1;
-    let ms = get(bytes, &mut at)?;
-    let mut counts = Vec::new();
-    while at < bytes.len() {
-        let tenant = get(bytes, &mut at)?;
-        let count = get(bytes, &mut at)?;
-        if count > ABSURD || tenant > u64::from(u32::MAX) {
+    let body = bytes.strip_prefix(&digest.0).ok_or(Rejected::Foreign)?;
+    read(body).ok_or(Rejected::Malformed)
+}
+
+fn read(body: &[u8]) -> Option<Report> {
+    let mut at = 0;
+    let span_ms = get(body, &mut at)?;
+    let mut hits = Vec::new();
+    while at < body.len() {
+        let tenant = get(body, &mut at)?;
+        let count = get(body, &mut at)?;
+        if count > ABSURD {
             return None;
         }
-        counts.push((tenant as u32, count as u32));
+        hits.push((u32::try_from(tenant).ok()?, u32::try_from(count).ok()?));
     }
-    Some((ms, counts))
+    Some(Report { span_ms, hits })
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -214,6 +214,7 @@
         gateways: d.replicas_of_me,
         zone: ZoneId(d.my_zone),
         tenants: d.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+        digest: Digest::of_tenants(d.tenants.iter().map(|t| t.name.as_str())),
         classes: d.profiles.iter().enumerate().map(class).collect(),
         try_limit: d.limits.try_limit,
         parallel_tries: d.limits.parallel_tries,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,7 @@
         gateways,
         zone: ZoneId(0),
         tenants: vec![Tenant { quota_per_s: 1000.0 }],
+        digest: Digest::default(),
         classes: vec![class],
         try_limit: 3,
         parallel_tries: false,
