Let the budget of cold replicas go by what replicas begin, not by what is sent

At fault: `note_sent` in `send` (src/choice.rs) and `Fleet::flow` (src/state.rs): sent requests are a measure of replicas only while they keep up. Change: requests begun, which is what the fleet can do, make the flow; what comes to a router, begun or not, tells how much of its credit is used, as in a jam more of it is.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -373,6 +373,7 @@
         let tenant = request.tenant.0 as usize;
         // The share of each beginning in the traffic, over some seconds, decides how many homes it gets.
         self.beginnings.hit(now, request.prefix);
+        self.fleet.note_request();
         let deadline = now.saturating_add(request.left);
         // A stream that comes back was paid for when it first came.
         let returned = request.returned;
@@ -675,8 +676,9 @@
     /// than before.
     fn cold_credit(&self, now: Nanos, r: &Replica) -> f64 {
         let fall = self.set.fall as f64 / SECOND as f64;
-        let flow = self.fleet.flow(now, now.saturating_sub(self.last_tick));
-        let used = (1.0 - (-flow * fall).exp()).max(LEAST_USED);
+        let since = now.saturating_sub(self.last_tick);
+        let flow = self.fleet.flow(now, since);
+        let used = (1.0 - (-self.fleet.demand(since).max(flow) * fall).exp()).max(LEAST_USED);
         let share = self.warmth(now, r) * self.fleet.speed(r.row.kind).min(1.0);
         let gain = self.set.fall_multiple * flow / self.fleet.nodes.max(1.0) * share / used;
         let dt = now.saturating_sub(r.cold_at) as f64 / SECOND as f64;
@@ -735,8 +737,6 @@
         }
         let (replica, row) = (r.row.replica, r.row.clone());
         let open = self.open.get_mut(&id).expect("looked up above");
-        // What clients ask for again and again in a jam is no measure of what replicas can do.
-        self.fleet.note_sent(now, open.attempts.is_empty() && !open.request.again);
         open.attempts.push(Attempt {
             replica: i,
             row,
@@ -847,6 +847,8 @@
             self.sessions.note(now, session.0, &a.row, o.request.prompt_tokens);
         }
         self.replicas[i].unwait(sent);
+        // What is sent in a jam is no measure of what replicas can do; what they begin is.
+        self.fleet.note_begun(now);
         self.fleet.note_taken(now, taken);
         if life != self.replicas[i].row.last_start {
             return; // An earlier life's answer tells nothing of this one.
--- a/src/state.rs
+++ b/src/state.rs
@@ -147,9 +147,10 @@
 /// What is smoothed or counted over all replicas.
 #[derive(Default)]
 pub(crate) struct Fleet {
-    /// Requests sent on since the last tick, each once however often it is tried, by clients too, and their smoothed rate per second.
-    sends: u32,
-    flow: f64,
+    /// Requests that replicas have begun to answer. Not those that were sent: in a jam they are more than replicas can do.
+    begun: Rate,
+    /// Requests that have come, whatever became of them.
+    asked: Rate,
     ticks: u32,
     /// Those of the last seconds, each counting less the longer ago it was.
     recent: Recent,
@@ -254,36 +255,45 @@
         self.strain * (-age / FLEET_HALF_S).exp2()
     }
 
-    /// A request was sent on, and counts or not.
-    pub(crate) fn note_sent(&mut self, now: Nanos, counts: bool) {
-        if counts {
-            self.sends += 1;
-            self.recent.hit(now, FLOW_S);
-        }
+    /// A replica has begun to answer a request.
+    pub(crate) fn note_begun(&mut self, now: Nanos) {
+        self.begun.count += 1;
+        self.recent.hit(now, FLOW_S);
+    }
+
+    /// A request has come.
+    pub(crate) fn note_request(&mut self) {
+        self.asked.count += 1;
     }
 
-    /// Own requests sent on a second, `since` ns after the last tick. Before the first one it is the mean since the start: a
+    /// Requests a second that come to this gateway, and that may use what is saved for a cold replica: in a jam more than
+    /// replicas begin.
+    pub(crate) fn demand(&self, since: Nanos) -> f64 {
+        self.asked.mean(self.ticks, since)
+    }
+
+    /// Own requests begun a second, `since` ns after the last tick. Before the first one it is the mean since the start: a
     /// fleet of gateways that has just restarted would else leave the replicas idle that start with it. Ticks are many
     /// seconds apart, so a burst counts late; that traffic has gone elsewhere, or is less, counts at once: what many
     /// gateways still believe to have would else be more than there is.
     pub(crate) fn flow(&self, now: Nanos, since: Nanos) -> f64 {
-        match self.ticks {
-            0 => f64::from(self.sends) / (since as f64 / SECOND as f64).max(1.0),
-            _ => {
-                let age = now.saturating_sub(self.started) as f64 / SECOND as f64;
-                let recent = self.recent.by(now, FLOW_S) / FLOW_S / (1.0 - (-age / FLOW_S).exp()).max(1e-3);
-                self.flow.min(FLOW_CHANCE * recent)
-            }
+        let mean = self.begun.mean(self.ticks, since);
+        if self.ticks == 0 {
+            return mean;
         }
+        let age = now.saturating_sub(self.started) as f64 / SECOND as f64;
+        let recent = self.recent.by(now, FLOW_S) / FLOW_S / (1.0 - (-age / FLOW_S).exp()).max(1e-3);
+        mean.min(FLOW_CHANCE * recent)
     }
 
     /// `dt` seconds have gone by since this was called last. The mean of all ticks while they are few: begun at zero,
     /// the flow of a gateway that has just started would be too low for several periods, and where all have, the
     /// replicas that start with them would be left idle.
     pub(crate) fn note_flow(&mut self, dt: f64) {
-        let rate = f64::from(std::mem::take(&mut self.sends)) / dt;
         self.ticks = self.ticks.saturating_add(1);
-        self.flow += RATE_WEIGHT.max(1.0 / f64::from(self.ticks)) * (rate - self.flow);
+        let weight = RATE_WEIGHT.max(1.0 / f64::from(self.ticks));
+        self.begun.tick(dt, weight);
+        self.asked.tick(dt, weight);
     }
 
     /// So many replicas are ready after `dt` seconds more; half of a change is believed within the time that one takes to
@@ -316,6 +326,31 @@
     }
 }
 
+/// What is counted between ticks and smoothed over them.
+#[derive(Default)]
+struct Rate {
+    /// Since the last tick.
+    count: u32,
+    /// Smoothed, a second.
+    per_s: f64,
+}
+
+impl Rate {
+    /// `dt` seconds have gone by since the last tick.
+    fn tick(&mut self, dt: f64, weight: f64) {
+        let rate = f64::from(std::mem::take(&mut self.count)) / dt;
+        smooth(&mut self.per_s, rate, weight);
+    }
+
+    /// The smoothed rate; before the first tick the mean of the `since` ns from the start.
+    fn mean(&self, ticks: u32, since: Nanos) -> f64 {
+        match ticks {
+            0 => f64::from(self.count) / (since as f64 / SECOND as f64).max(1.0),
+            _ => self.per_s,
+        }
+    }
+}
+
 /// What is seen of a kind of machine.
 #[derive(Clone, Copy)]
 struct Kind {
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -49,7 +49,7 @@
 fn the_flow_is_known_from_the_start_the_first_ticks_are_averaged_and_less_counts_at_once() {
     let mut fleet = Fleet::begin(0.0);
     let send = |fleet: &mut Fleet, n: u64, from: Nanos| {
-        (1..=n).for_each(|k| fleet.note_sent(from + k * 5 * SECOND / n, true));
+        (1..=n).for_each(|k| fleet.note_begun(from + k * 5 * SECOND / n));
     };
     for tick in 0..3 {
         let from = tick * 5 * SECOND;
