--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -301,7 +301,7 @@
 const READ: usize = 8 << 10;
 /// After so many reads a task gives way to others, however much there is to read: an event of another connection would
 /// else wait for as many reads as the runtime allows, 128.
-const READS_IN_TURN: u8 = 4;
+const READS_IN_TURN: u8 = 2;
 
 impl Wire {
     /// A new connection. Small writes go out at once: events are small, and late is lost.
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tallypin::api::LONGEST_LIST_WAIT;
 use tallypin::settings::Deployment;
 
 /// The limits of one router.
@@ -152,7 +153,7 @@
             list_silence: Duration::from_secs(4),
             list_answer: Duration::from_millis(2200),
             list_again: Duration::from_millis(300),
-            list_again_most: Duration::from_secs(3),
+            list_again_most: nanos(LONGEST_LIST_WAIT),
             agent_answer: Duration::from_millis(250),
             agent_again: Duration::from_millis(200),
             grace: Duration::from_millis(500),
--- a/src/api.rs
+++ b/src/api.rs
@@ -11,6 +11,10 @@
 /// One second.
 pub const SECOND: Nanos = 1_000_000_000;
 
+/// The longest wait for the next call for the node list: half of the 6 s after which what it has to tell counts as told. The
+/// other half is for a call that was out when the list came back, and for the answer.
+pub const LONGEST_LIST_WAIT: Nanos = 3 * SECOND;
+
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -83,9 +83,6 @@
 /// First and longest time of an ejection, ns.
 const EJECT: (Nanos, Nanos) = (3 * SECOND, 24 * SECOND);
 
-/// The longest wait for the next call for the list: half of the 6 s after which what it has to tell counts as
-/// told. The other half is for a call that was out when the list came back, and for the answer.
-const LONGEST_LIST_WAIT: f64 = 3.0 * SECOND as f64;
 /// The least advice to a client refused for want of room.
 const LEAST_ADVICE: Nanos = SECOND / 10;
 
@@ -232,7 +229,7 @@
                 self.watch.on = false;
                 self.watch.fails = (self.watch.fails + 1).min(4);
                 let wait = must_ask_in as f64 * 0.1 * f64::from(self.watch.fails);
-                let wait = wait.min(LONGEST_LIST_WAIT) * (0.5 + 0.5 * self.rng.f64());
+                let wait = wait.min(LONGEST_LIST_WAIT as f64) * (0.5 + 0.5 * self.rng.f64());
                 self.ask_at(now + wait as Nanos, out);
             }
             return;
