Name rejections, idle ends and idle guards in the field's words

Turned is Rejection, turn is reject, Resting is IdleEnd (Request, Expired, RoomWanted), Idling is IdleGuard, unwanted is room_wanted, Pages is ObjectReader. Behaviour unchanged.

--- a/router/src/checks/grpc.rs
+++ b/router/src/checks/grpc.rs
@@ -35,7 +35,7 @@
     let handshake = tokio::select! {
         biased;
         done = timeout(budget, builder.handshake::<_, Bytes>(wire.stream)) => done,
-        () = idle.unwanted() => return,
+        () = idle.room_wanted() => return,
     };
     let Ok(Ok(mut connection)) = handshake else { return board.spoilt() };
     let open = Rc::new(Open::default());
@@ -50,7 +50,7 @@
             biased;
             accepted = connection.accept() => accepted,
             () = open.less.notified() => continue,
-            () = unwanted(&mut idle) => break,
+            () = room_wanted(&mut idle) => break,
             () = tokio::time::sleep(rest), if idle.is_some() => break,
         };
         let Some(Ok((request, respond))) = accepted else { return };
@@ -63,9 +63,9 @@
     let _ = timeout(budget, std::future::poll_fn(|cx| connection.poll_closed(cx))).await;
 }
 
-async fn unwanted(idle: &mut Option<crate::clients::Idling>) {
+async fn room_wanted(idle: &mut Option<crate::clients::IdleGuard>) {
     match idle {
-        Some(idle) => idle.unwanted().await,
+        Some(idle) => idle.room_wanted().await,
         None => std::future::pending().await,
     }
 }
--- a/router/src/checks/http.rs
+++ b/router/src/checks/http.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::listen::Call;
-use crate::front::{linger, Turned};
+use crate::front::{linger, Rejection};
 use crate::http::{reason, Bad, Body, Framing, Head, Part, Start};
 
 /// The largest body of a check that is read over; checks have none.
@@ -23,7 +23,7 @@
             let more = tokio::select! {
                 biased;
                 more = timeout(rest, call.wire.more()) => more,
-                () = idle.unwanted() => return,
+                () = idle.room_wanted() => return,
             };
             if !matches!(more, Ok(Ok(true))) {
                 return;
@@ -33,7 +33,7 @@
         let read = tokio::select! {
             biased;
             read = timeout(budget, read(&mut call)) => read,
-            () = idle.unwanted() => return call.board.spoilt(),
+            () = idle.room_wanted() => return call.board.spoilt(),
         };
         drop(idle);
         let Ok(read) = read else {
@@ -45,7 +45,7 @@
             Read::Gone => return,
             Read::Bad(bad) => {
                 call.board.spoilt();
-                (refusal(Turned::from(bad).status()), false, false)
+                (refusal(Rejection::from(bad).status()), false, false)
             }
             Read::Asked(head) => {
                 let bodiless = matches!(&head.start, Start::Request(m, _) if &m[..] == b"HEAD");
--- a/router/src/checks/listen.rs
+++ b/router/src/checks/listen.rs
@@ -10,7 +10,7 @@
 use tokio::task::AbortHandle;
 
 use super::Board;
-use crate::clients::{Client, Idling};
+use crate::clients::{Client, IdleGuard};
 use crate::host::Host;
 use crate::http::Wire;
 use crate::installation::CheckSettings;
@@ -29,7 +29,7 @@
     /// Its place among the check connections.
     pub client: Client,
     /// It has asked nothing yet; told when its place is needed.
-    pub idle: Option<Idling>,
+    pub idle: Option<IdleGuard>,
 }
 
 impl Call {
@@ -39,7 +39,7 @@
     }
 
     /// It carries nothing from now on, until the result is dropped.
-    pub fn rest(&mut self) -> Idling {
+    pub fn rest(&mut self) -> IdleGuard {
         self.idle.take().unwrap_or_else(|| self.client.idle())
     }
 }
@@ -123,7 +123,7 @@
         let origin = tokio::select! {
             biased;
             origin = host.outward.origin(Door::Checks, &mut wire) => origin,
-            () = idle.unwanted() => None,
+            () = idle.room_wanted() => None,
         };
         let Some(origin) = origin else { return board.spoilt() };
         let ip = origin.client.unwrap_or(from).ip();
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -54,7 +54,7 @@
 
     /// One more has connected, and carries nothing yet. If there is no room, one that carries nothing is told
     /// to close; if there is none such either, the new one is `crowded`.
-    pub fn enter(self: &Rc<Self>) -> (Client, Idling) {
+    pub fn enter(self: &Rc<Self>) -> (Client, IdleGuard) {
         self.open.set(self.open.get() + 1);
         let over = || self.open.get() - self.leaving.get() > self.most;
         if over() {
@@ -66,11 +66,11 @@
         (client, idle)
     }
 
-    fn idle(self: &Rc<Self>, asked: bool) -> Idling {
+    fn idle(self: &Rc<Self>, asked: bool) -> IdleGuard {
         self.last.set(self.last.get() + 1);
         let (number, (close, told)) = (self.last.get(), oneshot::channel());
         self.among(asked).borrow_mut().insert(number, Idle { since: Instant::now(), close });
-        Idling { clients: self.clone(), asked, number, told }
+        IdleGuard { clients: self.clone(), asked, number, told }
     }
 
     fn among(&self, asked: bool) -> &Waiting {
@@ -113,7 +113,7 @@
 
 impl Client {
     /// The connection carries nothing from now on, until the result is dropped; it has asked something before.
-    pub fn idle(&self) -> Idling {
+    pub fn idle(&self) -> IdleGuard {
         self.clients.idle(true)
     }
 }
@@ -126,22 +126,22 @@
 }
 
 /// A time in which a client connection carries nothing.
-pub struct Idling {
+pub struct IdleGuard {
     clients: Rc<Clients>,
     asked: bool,
     number: u64,
     told: oneshot::Receiver<()>,
 }
 
-impl Idling {
+impl IdleGuard {
     /// Waits until its room is needed.
-    pub async fn unwanted(&mut self) {
+    pub async fn room_wanted(&mut self) {
         // It fails only when the entry is gone, and that goes with this or with being told.
         let _ = (&mut self.told).await;
     }
 }
 
-impl Drop for Idling {
+impl Drop for IdleGuard {
     fn drop(&mut self) {
         if self.clients.among(self.asked).borrow_mut().remove(&self.number).is_none() {
             self.clients.leaving.set(self.clients.leaving.get() - 1);
--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -12,7 +12,7 @@
 use tallypin::api::{ClassId, Nanos, Refusal, TenantId};
 use tallypin::names;
 
-use super::{next, opening, retry_after, write, write_chunk, write_whole, Incoming, Next, Then, Turned};
+use super::{next, opening, retry_after, write, write_chunk, write_whole, Incoming, Next, Rejection, Then};
 use crate::core::{Ask, FinalAnswer};
 use crate::dialect::{Answer, Asked, Dialect, Event, MessagesWriter};
 use crate::host::{HeldBody, Host, Piece, Prompt};
@@ -62,22 +62,22 @@
     /// With the front's own words.
     Invalid(String),
     NoModel(String),
-    Turned(Turned),
+    Rejection(Rejection),
 }
 
 impl From<Bad> for Unfit {
     fn from(bad: Bad) -> Self {
-        Unfit::Turned(bad.into())
+        Unfit::Rejection(bad.into())
     }
 }
 
 impl MessagesFront {
     fn read(&self, host: &Host, request: &Incoming, now: Nanos) -> Result<Understood, Unfit> {
         if request.path() != PATH {
-            return Err(Unfit::Turned(Turned::NotFound));
+            return Err(Unfit::Rejection(Rejection::NotFound));
         }
         if &request.method[..] != b"POST" {
-            return Err(Unfit::Turned(Turned::Method));
+            return Err(Unfit::Rejection(Rejection::Method));
         }
         if !request.head.current {
             return Err(Bad::Malformed.into());
@@ -131,14 +131,14 @@
                 Err(why) => return refuse(host, wire, why).await,
             };
         if host.full() {
-            return turn(host, wire, Turned::Full).await;
+            return reject(host, wire, Rejection::Full).await;
         }
         let body = match body {
             None => request.body,
             // The translated body takes the place of the one that came.
             Some(body) => match host.reserve(body.len()) {
                 Some(reserved) => HeldBody { bytes: body.into(), reserved },
-                None => return turn(host, wire, Turned::Full).await,
+                None => return reject(host, wire, Rejection::Full).await,
             },
         };
         let same = host.nodes.dialect == Dialect::Messages;
@@ -154,7 +154,7 @@
             client: request.client,
         };
         let Some(mut ticket) = host.submit(ask, prompt) else {
-            return turn(host, wire, Turned::Twice).await;
+            return reject(host, wire, Rejection::Twice).await;
         };
         let (mut unsaid, named) = (true, format!("Request-Id: {id}\r\n"));
         let mut head = || opening(host, &mut unsaid, BEGUN, &named);
@@ -258,15 +258,15 @@
     match why {
         Unfit::Invalid(why) => error(host, wire, 400, "", &why).await,
         Unfit::NoModel(model) => error(host, wire, 404, "", &format!("model: {model}")).await,
-        Unfit::Turned(why) => turn(host, wire, why).await,
+        Unfit::Rejection(why) => reject(host, wire, why).await,
     }
 }
 
 /// Answers what is no request that could be taken.
-pub async fn turn(host: &Host, wire: &mut Wire, why: Turned) -> io::Result<Then> {
+pub async fn reject(host: &Host, wire: &mut Wire, why: Rejection) -> io::Result<Then> {
     let (status, fields) = match why {
-        Turned::Full => (529, come_back(host, 0)),
-        Turned::Method => (405, "Allow: POST\r\n".into()),
+        Rejection::Full => (529, come_back(host, 0)),
+        Rejection::Method => (405, "Allow: POST\r\n".into()),
         why => (why.status(), String::new()),
     };
     error(host, wire, status, &fields, crate::http::reason(status)).await
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{timeout, timeout_at};
 
-use crate::clients::{Client, Idling};
+use crate::clients::{Client, IdleGuard};
 use crate::core::FinalAnswer;
 use crate::health;
 use crate::host::{HeldBody, Host, Piece, Ticket};
@@ -67,7 +67,7 @@
 
 /// Why a request gets no further than its front.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Turned {
+pub enum Rejection {
     /// It is no request that could be taken.
     Bad(Bad),
     /// There is no such thing here.
@@ -82,26 +82,26 @@
     Twice,
 }
 
-impl Turned {
+impl Rejection {
     /// The status that says so.
     pub fn status(self) -> u16 {
         match self {
-            Turned::Bad(Bad::Malformed) => 400,
-            Turned::Bad(Bad::LargeBody) => 413,
-            Turned::Bad(Bad::LargeHead) => 431,
-            Turned::Bad(Bad::Coding) => 501,
-            Turned::NotFound => 404,
-            Turned::Method => 405,
-            Turned::Full => 503,
-            Turned::Slow => 408,
-            Turned::Twice => 409,
+            Rejection::Bad(Bad::Malformed) => 400,
+            Rejection::Bad(Bad::LargeBody) => 413,
+            Rejection::Bad(Bad::LargeHead) => 431,
+            Rejection::Bad(Bad::Coding) => 501,
+            Rejection::NotFound => 404,
+            Rejection::Method => 405,
+            Rejection::Full => 503,
+            Rejection::Slow => 408,
+            Rejection::Twice => 409,
         }
     }
 }
 
-impl From<Bad> for Turned {
+impl From<Bad> for Rejection {
     fn from(bad: Bad) -> Self {
-        Turned::Bad(bad)
+        Rejection::Bad(bad)
     }
 }
 
@@ -144,14 +144,14 @@
     tokio::time::sleep(host.limits.last_look).await;
 }
 
-async fn connection(host: Rc<Host>, client: Client, idle: Idling, stream: TcpStream, front: Rc<Front>) {
+async fn connection(host: Rc<Host>, client: Client, idle: IdleGuard, stream: TcpStream, front: Rc<Front>) {
     let (host, crowded) = (&host, client.crowded);
     let mut wire = Wire::new(stream);
     let mut first_idle = idle;
     let origin = tokio::select! {
         biased;
         origin = host.outward.origin(front.door(), &mut wire) => origin,
-        () = first_idle.unwanted() => return linger(wire, host.limits.last_look).await,
+        () = first_idle.room_wanted() => return linger(wire, host.limits.last_look).await,
     };
     let Some(Origin { client: from }) = origin else { return };
     let mut first_idle = Some(first_idle);
@@ -160,10 +160,10 @@
         let rest = keep_alive.rest(&host.limits);
         let mut idle = first_idle.take().unwrap_or_else(|| client.idle());
         match wait_for_request(host, &mut idle, &mut wire, rest).await {
-            Resting::Asks => drop(idle),
-            Resting::Over => return linger(wire, host.limits.linger).await,
+            IdleEnd::Request => drop(idle),
+            IdleEnd::Expired => return linger(wire, host.limits.linger).await,
             // It counts as leaving until it has closed: nobody else is closed for the room that it gives.
-            Resting::Unwanted => return linger(wire, host.limits.last_look).await,
+            IdleEnd::RoomWanted => return linger(wire, host.limits.last_look).await,
         }
         let since = host.clock.at(wire.first_read());
         let begun = keep_alive.begins(Instant::now(), &host.limits);
@@ -171,21 +171,21 @@
             tokio::time::sleep(pause).await;
         }
         let read = timeout_at(begun.whole_by.into(), read_request(host, &mut wire, since));
-        let request = read.await.unwrap_or(Ok(Err(Turned::Slow)));
+        let request = read.await.unwrap_or(Ok(Err(Rejection::Slow)));
         wire.message_taken();
         let request = match request {
             Ok(request) => request.map(|r| Incoming { client: from, ..r }),
             Err(_) => return,
         };
-        if let Err(turned) = &request {
-            tracing::debug!(target: "front", client = ?from, why = ?turned, "no request that could be taken");
+        if let Err(rejection) = &request {
+            tracing::debug!(target: "front", client = ?from, why = ?rejection, "no request that could be taken");
         }
         let (keeps, then) = match request {
             Ok(r) if crowded && !front.asks_health(&r) => {
-                (false, front.turn(host, &mut wire, Turned::Full).await)
+                (false, front.reject(host, &mut wire, Rejection::Full).await)
             }
             Ok(request) => (request.head.keeps(), front.answer(host, &mut wire, request).await),
-            Err(turned) => (false, front.turn(host, &mut wire, turned).await),
+            Err(rejection) => (false, front.reject(host, &mut wire, rejection).await),
         };
         let Ok(then) = then else { return };
         if !keep_alive.answered(Instant::now(), then, keeps, host.drain.stage()) {
@@ -195,41 +195,41 @@
 }
 
 /// What comes of a connection that carries nothing.
-enum Resting {
+enum IdleEnd {
     /// A request begins.
-    Asks,
+    Request,
     /// Its time is over, or its client's end has come: what its client may send in this moment is not to reset it.
-    Over,
+    Expired,
     /// Its room is needed at once, and no request has arrived.
-    Unwanted,
+    RoomWanted,
 }
 
 /// Waits until a request begins, or the connection is to be closed instead.
-async fn wait_for_request(host: &Host, idle: &mut Idling, wire: &mut Wire, rest: Rest) -> Resting {
+async fn wait_for_request(host: &Host, idle: &mut IdleGuard, wire: &mut Wire, rest: Rest) -> IdleEnd {
     if !wire.buf.is_empty() {
         // One request in a turn, however many a client sends ahead: the others' events would else wait.
         tokio::task::yield_now().await;
-        return Resting::Asks;
+        return IdleEnd::Request;
     }
     wire.rest();
     let read = tokio::select! {
         biased;
         read = wire.more() => read,
-        () = parted(host, rest.until) => return Resting::Over,
+        () = parted(host, rest.until) => return IdleEnd::Expired,
         // A request may have arrived since the event loop last looked at the sockets.
-        () = idle.unwanted() => match wire.arrived().await {
+        () = idle.room_wanted() => match wire.arrived().await {
             Some(read) => read,
-            None => return Resting::Unwanted,
+            None => return IdleEnd::RoomWanted,
         },
-        () = tokio::time::sleep(rest.limit) => return Resting::Over,
+        () = tokio::time::sleep(rest.limit) => return IdleEnd::Expired,
     };
     match read {
-        Ok(true) => Resting::Asks,
-        _ => Resting::Over,
+        Ok(true) => IdleEnd::Request,
+        _ => IdleEnd::Expired,
     }
 }
 
-async fn read_request(host: &Host, wire: &mut Wire, since: Nanos) -> io::Result<Result<Incoming, Turned>> {
+async fn read_request(host: &Host, wire: &mut Wire, since: Nanos) -> io::Result<Result<Incoming, Rejection>> {
     let limits = &host.limits;
     let head = loop {
         match Head::request(&mut wire.buf, limits) {
@@ -258,7 +258,7 @@
     };
     // What has come is counted as it comes: many slow bodies at once would else be more than the memory
     // holds, and what was only announced would leave no room for those that send.
-    let Some(mut reserved) = host.reserve(0) else { return Ok(Err(Turned::Full)) };
+    let Some(mut reserved) = host.reserve(0) else { return Ok(Err(Rejection::Full)) };
     if head.expects() && wire.buf.is_empty() {
         wire.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
     }
@@ -272,7 +272,7 @@
                 Ok(Some(Part::Bytes(data))) if reserved.grow(all.len() + data.len()) => {
                     all.extend_from_slice(&data);
                 }
-                Ok(Some(Part::Bytes(_))) => return Ok(Err(Turned::Full)),
+                Ok(Some(Part::Bytes(_))) => return Ok(Err(Rejection::Full)),
                 Ok(Some(Part::End)) => break Bytes::from(all),
                 Ok(None) if wire.more().await? => {}
                 Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -286,7 +286,7 @@
             }
         }
         if wire.buf.len() < expected || !reserved.grow(expected) {
-            return Ok(Err(Turned::Full));
+            return Ok(Err(Rejection::Full));
         }
         wire.buf.split_to(expected).freeze()
     };
@@ -427,10 +427,10 @@
         }
     }
 
-    async fn turn(&self, host: &Host, wire: &mut Wire, why: Turned) -> io::Result<Then> {
+    async fn reject(&self, host: &Host, wire: &mut Wire, why: Rejection) -> io::Result<Then> {
         match self {
-            Front::Platform => platform::turn(host, wire, why).await,
-            Front::Messages(_) => messages::turn(host, wire, why).await,
+            Front::Platform => platform::reject(host, wire, why).await,
+            Front::Messages(_) => messages::reject(host, wire, why).await,
         }
     }
 }
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -7,7 +7,7 @@
 use tallypin::api::{ClassId, Nanos, Refusal, TenantId};
 use tallypin::names;
 
-use super::{next, opening, retry_after, write, write_chunk, write_whole, Incoming, Next, Then, Turned};
+use super::{next, opening, retry_after, write, write_chunk, write_whole, Incoming, Next, Rejection, Then};
 use crate::core::{Ask, FinalAnswer};
 use crate::dialect::{Asked, ChatWriter, Dialect};
 use crate::host::{HeldBody, Host, Piece, Prompt};
@@ -24,12 +24,12 @@
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Reads what the core wants to know of a request; also gives the request's name.
-pub fn read(host: &Host, request: &Incoming, now: Nanos) -> Result<(Ask, Bytes), Turned> {
+pub fn read(host: &Host, request: &Incoming, now: Nanos) -> Result<(Ask, Bytes), Rejection> {
     if request.path() != PATH {
-        return Err(Turned::NotFound);
+        return Err(Rejection::NotFound);
     }
     if &request.method[..] != b"POST" {
-        return Err(Turned::Method);
+        return Err(Rejection::Method);
     }
     let (head, of) = (&request.head, &host.deployment);
     let id = head.one("req-id")?.ok_or(Bad::Malformed)?.clone();
@@ -80,30 +80,32 @@
 pub async fn answer(host: &Rc<Host>, wire: &mut Wire, request: Incoming) -> io::Result<Then> {
     let (ask, id) = match read(host, &request, host.clock.now()) {
         Ok(read) => read,
-        Err(why) => return turn(host, wire, why).await,
+        Err(why) => return reject(host, wire, why).await,
     };
     let idempotency_key = match request.idempotency_key() {
         Ok(key) => key,
-        Err(bad) => return turn(host, wire, bad.into()).await,
+        Err(bad) => return reject(host, wire, bad.into()).await,
     };
     if host.full() {
-        return turn(host, wire, Turned::Full).await;
+        return reject(host, wire, Rejection::Full).await;
     }
     let same = host.nodes.dialect == Dialect::Chat;
     let Incoming { method, mut target, mut body, client, .. } = request;
     if !same {
         // An old client, newer model nodes: the one case in which this front is not thin.
         let Ok(asked) = Asked::chat(&body.bytes) else {
-            return turn(host, wire, Bad::Malformed.into()).await;
+            return reject(host, wire, Bad::Malformed.into()).await;
         };
         let bytes = asked.messages_body(host.limits.answer_tokens);
-        let Some(reserved) = host.reserve(bytes.len()) else { return turn(host, wire, Turned::Full).await };
+        let Some(reserved) = host.reserve(bytes.len()) else {
+            return reject(host, wire, Rejection::Full).await;
+        };
         (target, body) =
             (Bytes::from_static(host.nodes.dialect.path()), HeldBody { bytes: bytes.into(), reserved });
     }
     let prompt = Prompt { id, method, target, body, idempotency_key, text: !same, client };
     let Some(mut ticket) = host.submit(ask, prompt) else {
-        return turn(host, wire, Turned::Twice).await;
+        return reject(host, wire, Rejection::Twice).await;
     };
     let mut writer = ChatWriter::default();
     let mut unsaid = true;
@@ -142,11 +144,11 @@
 }
 
 /// Answers what is no request that could be taken.
-pub async fn turn(host: &Host, wire: &mut Wire, why: Turned) -> io::Result<Then> {
+pub async fn reject(host: &Host, wire: &mut Wire, why: Rejection) -> io::Result<Then> {
     let status = why.status();
     let fields = match why {
-        Turned::Full => format!("Retry-After: {:.3}\r\n", retry_after(host, 0)),
-        Turned::Method => "Allow: POST\r\n".into(),
+        Rejection::Full => format!("Retry-After: {:.3}\r\n", retry_after(host, 0)),
+        Rejection::Method => "Allow: POST\r\n".into(),
         _ => String::new(),
     };
     let body = Bytes::from_static(crate::http::reason(status).as_bytes());
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -19,7 +19,7 @@
 use crate::host::Host;
 use crate::http::{Body, Framing, Head, Part, Start, Wire};
 use crate::list_clock::{Backoff, ListClock, Step, Terms};
-use crate::pages::{NoObject, Pages};
+use crate::pages::{NoObject, ObjectReader};
 
 /// One object of the list: the whole of it, or what changed.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -271,7 +271,7 @@
     };
     place.clock.heard(host.clock.now());
     place.stands.notify_one();
-    let (mut body, mut held) = (Body::new(framing, limits.list_line as u64), Pages::default());
+    let (mut body, mut held) = (Body::new(framing, limits.list_line as u64), ObjectReader::default());
     loop {
         match body.next(&mut wire.buf) {
             Ok(Some(Part::Bytes(data))) => {
--- a/router/src/pages.rs
+++ b/router/src/pages.rs
@@ -9,7 +9,7 @@
 
 /// What has come of the list and is not taken yet.
 #[derive(Debug, Default)]
-pub struct Pages {
+pub struct ObjectReader {
     held: BytesMut,
     /// So much of it has been looked at.
     seen: usize,
@@ -28,7 +28,7 @@
     Escaped,
 }
 
-impl Pages {
+impl ObjectReader {
     /// More has come.
     pub fn push(&mut self, data: &[u8]) {
         self.held.extend_from_slice(data);
--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -10,7 +10,7 @@
 use tallypin_router::installation::Installation;
 use tallypin_router::limits::Limits;
 use tallypin_router::node_list::Page;
-use tallypin_router::pages::{NoObject, Pages};
+use tallypin_router::pages::{NoObject, ObjectReader};
 
 #[test]
 fn heads() {
@@ -332,7 +332,7 @@
 
 /// All objects that come of these pieces, one after the other.
 fn pages(pieces: &[&[u8]]) -> Result<Vec<Page>, NoObject> {
-    let (mut held, mut all) = (Pages::default(), Vec::new());
+    let (mut held, mut all) = (ObjectReader::default(), Vec::new());
     for piece in pieces {
         held.push(piece);
         while let Some(object) = held.take()? {
@@ -365,7 +365,7 @@
     ] {
         assert_eq!(pages(&[text.as_bytes()]), wanted, "{text:?}");
     }
-    let mut blank = Pages::default();
+    let mut blank = ObjectReader::default();
     blank.push(b"\n\n\n");
     assert_eq!((blank.take(), blank.held()), (Ok(None), 0), "signs of life take no room");
 }
