--- a/router/tests/floods.rs
+++ b/router/tests/floods.rs
@@ -76,8 +76,8 @@
 /// What the floods got through between its writing and its arrival is the measure, as the machine may stand still.
 #[test]
 fn an_event_passes_beside_floods_of_answers_and_of_commands() {
-    /// What a router passes on in some 40 ms of a whole processor.
-    const MOST: usize = 2 << 20;
+    /// What a router passes on in some 20 ms of a whole processor.
+    const MOST: usize = 1 << 20;
     run(async {
         let floods = Floods::new();
         let (router, listener) = by_hand(|_| {}).await;
@@ -99,7 +99,7 @@
             floods.run(move |_| nonsense(at));
         }
         let (mut passed, mut worst, mut longest) = (0, 0, Duration::ZERO);
-        for n in 0..40 {
+        for n in 0..120 {
             let event = format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{n:04}\"}}}}]}}\n\n");
             let (before, begun) = (floods.bytes.load(Ordering::SeqCst), Instant::now());
             node.send(&chunk(&event)).await;
@@ -113,7 +113,7 @@
             passed = after;
         }
         println!("{passed} bytes of floods; in one event's time {worst} at the most, {longest:?}");
-        assert!(passed > 4 * MOST, "no flood: {passed}");
+        assert!(passed > 8 * MOST, "no flood: {passed}");
         assert!(worst < MOST, "an event waited while {worst} bytes of floods passed");
     });
 }
