Keep one idle guard a connection; name why a peer's message is dropped

`connection` (front/mod.rs) held its first idle guard in an Option beside the later ones: one variable, set anew after each answer. `Peers::note_dropped` told the first message of a kind by comparing two copies of all counts: the reason is an enum now, and its count is looked at itself. Decisions, bytes on the wire and counts as before; the three log lines begin alike.

--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -144,21 +144,24 @@
     tokio::time::sleep(host.limits.last_look).await;
 }
 
-async fn connection(host: Rc<Host>, client: Client, idle: IdleGuard, stream: TcpStream, front: Rc<Front>) {
+async fn connection(
+    host: Rc<Host>,
+    client: Client,
+    mut idle: IdleGuard,
+    stream: TcpStream,
+    front: Rc<Front>,
+) {
     let (host, crowded) = (&host, client.crowded);
     let mut wire = Wire::new(stream);
-    let mut first_idle = idle;
     let origin = tokio::select! {
         biased;
         origin = host.outward.origin(front.door(), &mut wire) => origin,
-        () = first_idle.room_wanted() => return linger(wire, host.limits.last_look).await,
+        () = idle.room_wanted() => return linger(wire, host.limits.last_look).await,
     };
     let Some(Origin { client: from }) = origin else { return };
-    let mut first_idle = Some(first_idle);
     let mut keep_alive = KeepAlive::new(Instant::now(), crowded);
     loop {
         let rest = keep_alive.rest(&host.limits);
-        let mut idle = first_idle.take().unwrap_or_else(|| client.idle());
         match wait_for_request(host, &mut idle, &mut wire, rest).await {
             IdleEnd::Request => drop(idle),
             IdleEnd::Expired => return linger(wire, host.limits.linger).await,
@@ -191,6 +194,7 @@
         if !keep_alive.answered(Instant::now(), then, keeps, host.drain.stage()) {
             return linger(wire, host.limits.linger).await;
         }
+        idle = client.idle();
     }
 }
 
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -27,6 +27,15 @@
     pub malformed: u64,
 }
 
+/// Why a message is not gone by.
+#[derive(Debug, Clone, Copy)]
+enum Unusable {
+    /// It comes from no peer, or is too long.
+    Stranger,
+    /// It is no report to go by.
+    Report(Rejected),
+}
+
 /// The way to the other routers.
 #[derive(Debug)]
 pub struct Peers {
@@ -86,7 +95,7 @@
             };
             // Whoever is not among the peers, or says too much, is not heard.
             let Some(peer) = self.number(from).filter(|peer| n <= MOST && *peer != self.me) else {
-                self.note_dropped(|dropped| dropped.strangers += 1);
+                self.note_dropped(Unusable::Stranger);
                 continue;
             };
             self.heard.set(Some(Instant::now()));
@@ -95,8 +104,7 @@
                     self.served.set(self.heard.get());
                 }
                 Ok(_) => {}
-                Err(Rejected::Foreign) => self.note_dropped(|dropped| dropped.foreign += 1),
-                Err(Rejected::Malformed) => self.note_dropped(|dropped| dropped.malformed += 1),
+                Err(why) => self.note_dropped(Unusable::Report(why)),
             }
             return (PeerId(peer as u32), buf[..n].to_vec());
         }
@@ -108,21 +116,20 @@
     }
 
     /// Counts a message that is not gone by; the first of each kind is logged.
-    fn note_dropped(&self, count: impl FnOnce(&mut Dropped)) {
-        let before = self.dropped.get();
-        let mut now = before;
-        count(&mut now);
-        self.dropped.set(now);
-        let first = |before: u64, now: u64| before == 0 && now > 0;
-        if first(before.strangers, now.strangers) {
-            tracing::warn!(target: "peers", "a message that is no peer's or too long, dropped; later ones are counted");
-        }
-        if first(before.foreign, now.foreign) {
-            tracing::warn!(target: "peers", "a report of a router with other tenants or of another version, dropped");
-        }
-        if first(before.malformed, now.malformed) {
-            tracing::warn!(target: "peers", "a malformed report, dropped; later ones are counted");
+    fn note_dropped(&self, why: Unusable) {
+        let mut dropped = self.dropped.get();
+        let (count, what) = match why {
+            Unusable::Stranger => (&mut dropped.strangers, "is no peer's or too long"),
+            Unusable::Report(Rejected::Foreign) => {
+                (&mut dropped.foreign, "is of a router with other tenants or of another version")
+            }
+            Unusable::Report(Rejected::Malformed) => (&mut dropped.malformed, "is malformed"),
+        };
+        *count += 1;
+        if *count == 1 {
+            tracing::warn!(target: "peers", "a message that {what}, dropped; later ones are counted");
         }
+        self.dropped.set(dropped);
     }
 
     /// Whether another router has been heard within a time. One that is about to end says nothing.
