Log why requests are answered, attempts closed and connections ended, and count it

Cause: the logs saved from the incident could not tell which step refused the requests, nor whether they may have run. Change: each final answer carries its cause, age, attempts and whether a replica may have run the request; each close of an attempt and of a client connection carries its reason; a written attempt is told to the core; stages of the end and further signals are logged at info, as is each request answered because the router ends.

--- /dev/null
+++ b/router/src/core/answer.rs
@@ -0,0 +1,137 @@
+//! Final answers, why they were given, and the counts of both.
+
+use tallypin::api::{Nanos, Outcome, Refusal};
+
+/// The final answer to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FinalAnswer {
+    /// The whole stream was passed on.
+    Served,
+    /// The stream broke after it had begun.
+    Broken,
+    /// Refused: trying again is harmless, best after so long (0: no advice); and for what.
+    Refused(Nanos, Refusal),
+    /// Failed; in time, or for want of time.
+    Failed {
+        /// The client's deadline had come.
+        late: bool,
+    },
+}
+
+/// Why a request got its final answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerCause {
+    /// Its stream ended, whole or not.
+    StreamEnded,
+    /// The decision module refused it.
+    Refused(Refusal),
+    /// The decision module gave it up: no further attempt may be made, or none would be in time.
+    NoAttemptLeft,
+    /// The decision module had not decided by the client's deadline.
+    Deadline,
+    /// The router is about to end.
+    Shutdown,
+}
+
+/// What became of a request, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestSummary {
+    /// Why it got its final answer.
+    pub cause: AnswerCause,
+    /// How long it was open.
+    pub age: Nanos,
+    /// How many attempts were begun.
+    pub attempts: usize,
+    /// How many of them had no outcome yet.
+    pub unsettled: usize,
+    /// Whether a replica may have run it.
+    pub may_have_run: bool,
+}
+
+/// Counts of what became of requests and attempts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tallies {
+    /// Requests taken, and how many asked for the rest of a stream.
+    pub taken: u64,
+    /// Those that asked for the rest of a broken stream.
+    pub returned: u64,
+    /// Final answers: whole streams.
+    pub served: u64,
+    /// Final answers: streams that broke after they had begun.
+    pub broken: u64,
+    /// Those of them that this router cut because it was about to end.
+    pub broken_shutdown: u64,
+    /// Streams that have begun.
+    pub begun: u64,
+    /// Final answers: refusals.
+    pub refused: u64,
+    /// Those of them that were over a partner's share.
+    pub refused_share: u64,
+    /// Those of them that were given because the router was about to end.
+    pub refused_shutdown: u64,
+    /// Final answers: failures.
+    pub failed: u64,
+    /// Those of them whose client's deadline had come.
+    pub failed_late: u64,
+    /// Those of them that were given because the router was about to end.
+    pub failed_shutdown: u64,
+    /// Clients that left first.
+    pub left: u64,
+    /// Outcomes of attempts, in the order of [`TALLIED`].
+    pub outcomes: [u64; 8],
+}
+
+/// The outcomes in the order in which [`Tallies::outcomes`] counts them.
+pub const TALLIED: [Outcome; 8] = [
+    Outcome::Done,
+    Outcome::Error,
+    Outcome::Busy,
+    Outcome::TimedOut,
+    Outcome::Refused,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Skipped,
+];
+
+impl Tallies {
+    /// Attempts that a model node answered, with whatever; a stream counts as soon as it begins.
+    pub fn answered(&self) -> u64 {
+        let [_, error, busy, ..] = self.outcomes;
+        self.begun + error + busy
+    }
+
+    /// Attempts that no model node answered: refused, reset, timed out.
+    pub fn unanswered(&self) -> u64 {
+        let [_, _, _, timed_out, refused, reset, ..] = self.outcomes;
+        timed_out + refused + reset
+    }
+
+    /// Counts a final answer.
+    pub(super) fn note_answer(&mut self, answer: FinalAnswer, cause: AnswerCause) {
+        let shutdown = u64::from(cause == AnswerCause::Shutdown);
+        match answer {
+            FinalAnswer::Served => self.served += 1,
+            FinalAnswer::Broken => {
+                self.broken += 1;
+                self.broken_shutdown += shutdown;
+            }
+            FinalAnswer::Refused(_, why) => {
+                self.refused += 1;
+                self.refused_share += u64::from(why == Refusal::Share);
+                self.refused_shutdown += shutdown;
+            }
+            FinalAnswer::Failed { late } => {
+                self.failed += 1;
+                self.failed_late += u64::from(late);
+                self.failed_shutdown += shutdown;
+            }
+        }
+    }
+
+    /// Counts an attempt's outcome.
+    pub(super) fn note_outcome(&mut self, outcome: Outcome) {
+        if let Some(place) = TALLIED.iter().position(|o| *o == outcome) {
+            self.outcomes[place] += 1;
+        }
+    }
+}
--- a/router/src/core.rs
+++ b/router/src/core/mod.rs
@@ -2,71 +2,21 @@
 //! happened into what is to be done ([`Order`]). It knows no HTTP, no socket and no event name, and the
 //! time is handed in. It is the one place that gives final answers, so each request gets exactly one.
 
+mod answer;
+mod request;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
+pub use answer::{AnswerCause, FinalAnswer, RequestSummary, Tallies, TALLIED};
+pub use request::{Ask, AttemptEnd, CloseReason};
 use rustc_hash::FxHashMap;
 use tallypin::api::*;
 use tallypin::view::Seen;
 use tallypin::Balancer;
 
 use crate::by_hand::Listed;
-
-/// A request as a front hands it in.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Ask {
-    /// Its class.
-    pub class: ClassId,
-    /// The partner it comes from.
-    pub partner: TenantId,
-    /// How long its client still waits for a first token.
-    pub left: Nanos,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// How many of them are a shared beginning.
-    pub beginning_tokens: u32,
-    /// The session.
-    pub session: Option<SessionKey>,
-    /// The shared beginning.
-    pub beginning: Option<PrefixKey>,
-    /// The client asks for the rest of a broken stream.
-    pub returned: bool,
-    /// The client marks it as another try.
-    pub again: bool,
-}
-
-/// How an attempt ended, as the connection saw it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct AttemptEnd {
-    /// What came of it.
-    pub outcome: Outcome,
-    /// Prompt tokens that the model node still held.
-    pub kept: Option<u32>,
-    /// The model node's load report.
-    pub load: Vec<f64>,
-}
-
-impl From<Outcome> for AttemptEnd {
-    fn from(outcome: Outcome) -> Self {
-        AttemptEnd { outcome, kept: None, load: Vec::new() }
-    }
-}
-
-/// The final answer to a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FinalAnswer {
-    /// The whole stream was passed on.
-    Served,
-    /// The stream broke after it had begun.
-    Broken,
-    /// Refused: trying again is harmless, best after so long (0: no advice); and for what.
-    Refused(Nanos, Refusal),
-    /// Failed; in time, or for want of time.
-    Failed {
-        /// The client's deadline had come.
-        late: bool,
-    },
-}
+use request::Open;
 
 /// What is to be done, in this order.
 #[derive(Debug, Clone, PartialEq)]
@@ -74,9 +24,9 @@
     /// Begin an attempt at a model node; the client waits for so long.
     Begin(RequestId, u32, ReplicaId, Nanos),
     /// Close an attempt; its outcome is settled.
-    Close(RequestId, u32),
+    Close(RequestId, u32, CloseReason),
     /// Give the final answer. For begun streams this says how it ended.
-    Answer(RequestId, FinalAnswer),
+    Answer(RequestId, FinalAnswer, RequestSummary),
     /// Probe a model node.
     Probe(ReplicaId),
     /// Watch the node list.
@@ -85,80 +35,9 @@
     Tell(Vec<u8>),
 }
 
-/// Counts of what became of requests and attempts.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Tallies {
-    /// Requests taken, and how many asked for the rest of a stream.
-    pub taken: u64,
-    /// Those that asked for the rest of a broken stream.
-    pub returned: u64,
-    /// Final answers: whole streams.
-    pub served: u64,
-    /// Final answers: streams that broke after they had begun.
-    pub broken: u64,
-    /// Streams that have begun.
-    pub begun: u64,
-    /// Final answers: refusals.
-    pub refused: u64,
-    /// Those of them that were over a partner's share.
-    pub refused_share: u64,
-    /// Final answers: failures.
-    pub failed: u64,
-    /// Clients that left first.
-    pub left: u64,
-    /// Outcomes of attempts, in the order of [`TALLIED`].
-    pub outcomes: [u64; 8],
-}
-
-impl Tallies {
-    /// Attempts that a model node answered, with whatever; a stream counts as soon as it begins.
-    pub fn answered(&self) -> u64 {
-        let [_, error, busy, ..] = self.outcomes;
-        self.begun + error + busy
-    }
-
-    /// Attempts that no model node answered: refused, reset, timed out.
-    pub fn unanswered(&self) -> u64 {
-        let [_, _, _, timed_out, refused, reset, ..] = self.outcomes;
-        timed_out + refused + reset
-    }
-}
-
-/// The outcomes in the order in which [`Tallies::outcomes`] counts them.
-pub const TALLIED: [Outcome; 8] = [
-    Outcome::Done,
-    Outcome::Error,
-    Outcome::Busy,
-    Outcome::TimedOut,
-    Outcome::Refused,
-    Outcome::Reset,
-    Outcome::Cancelled,
-    Outcome::Skipped,
-];
-
 /// Fewer times noted in vain are not worth looking through all of them.
 const STALE_LEAST: usize = 256;
 
-struct Attempt {
-    begun: Nanos,
-    settled: bool,
-}
-
-struct Open {
-    taken: Nanos,
-    deadline: Nanos,
-    attempts: Vec<Attempt>,
-    /// The attempt whose stream the client has.
-    bound: Option<u32>,
-    answered: bool,
-}
-
-impl Open {
-    fn out(&self, attempt: u32) -> Option<&Attempt> {
-        self.attempts.get(attempt as usize).filter(|a| !a.settled)
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(u64),
@@ -212,30 +91,22 @@
     pub fn take(&mut self, now: Nanos, ask: Ask) -> RequestId {
         self.last_id += 1;
         let id = RequestId(self.last_id);
-        let deadline = now.saturating_add(ask.left);
-        let open = Open { taken: now, deadline, attempts: Vec::new(), bound: None, answered: false };
+        let open = Open::new(now, ask.left);
+        self.due.push(Reverse((open.deadline.saturating_add(self.slack), Due::Deadline(id))));
         self.open.insert(id, open);
-        self.due.push(Reverse((deadline.saturating_add(self.slack), Due::Deadline(id))));
         self.tallies.taken += 1;
         self.tallies.returned += u64::from(ask.returned);
-        self.tell(
-            now,
-            Event::Request(Request {
-                id,
-                class: ask.class,
-                tenant: ask.partner,
-                left: ask.left,
-                prompt_tokens: ask.prompt_tokens,
-                prefix_tokens: ask.beginning_tokens,
-                session: ask.session,
-                prefix: ask.beginning,
-                returned: ask.returned,
-                again: ask.again,
-            }),
-        );
+        self.tell(now, Event::Request(ask.into_request(id)));
         id
     }
 
+    /// An attempt is about to write its request: from here on a replica may run it.
+    pub fn written(&mut self, id: RequestId, attempt: u32) {
+        if let Some(attempt) = self.open.get_mut(&id).and_then(|o| o.out_mut(attempt)) {
+            attempt.written = true;
+        }
+    }
+
     /// The first event of an attempt has come. True: the request is bound to it, and its events go to the
     /// client. False: it came too late and is to be dropped.
     pub fn started(&mut self, now: Nanos, id: RequestId, attempt: u32) -> bool {
@@ -250,7 +121,7 @@
         self.late += u64::from(now.saturating_sub(open.taken) > waits / 2);
         let after = now.saturating_sub(begun);
         self.tell(now, Event::FirstToken { request: id, attempt, after });
-        self.close_attempts(now, id, Some(attempt));
+        self.close_attempts(now, id, Some(attempt), CloseReason::AnotherBegan);
         self.work_off(now);
         true
     }
@@ -263,7 +134,8 @@
         }
         if open.bound == Some(attempt) && !open.answered {
             let whole = end.outcome == Outcome::Done;
-            self.answer(id, if whole { FinalAnswer::Served } else { FinalAnswer::Broken });
+            let answer = if whole { FinalAnswer::Served } else { FinalAnswer::Broken };
+            self.answer(now, id, answer, AnswerCause::StreamEnded);
         }
         self.settle(now, id, attempt, end);
         self.work_off(now);
@@ -275,7 +147,7 @@
         open.answered = true;
         self.tallies.left += 1;
         self.tell(now, Event::ClientGone(id));
-        self.close_attempts(now, id, None);
+        self.close_attempts(now, id, None, CloseReason::ClientLeft);
         self.work_off(now);
     }
 
@@ -287,9 +159,10 @@
         late.sort_unstable();
         for id in late {
             let begun = self.open.get(&id).is_some_and(|o| o.bound.is_some());
-            self.answer(id, if begun { FinalAnswer::Broken } else { FinalAnswer::Refused(0, Refusal::Room) });
+            let answer = if begun { FinalAnswer::Broken } else { FinalAnswer::Refused(0, Refusal::Room) };
+            self.answer(now, id, answer, AnswerCause::Shutdown);
             self.tell(now, Event::ClientGone(id));
-            self.close_attempts(now, id, None);
+            self.close_attempts(now, id, None, CloseReason::Shutdown);
             self.work_off(now);
         }
     }
@@ -337,7 +210,7 @@
                 Due::Attempt(id, attempt) => {
                     let Some(open) = self.open.get(&id) else { continue };
                     if open.bound.is_none() && open.out(attempt).is_some() {
-                        self.orders.push(Order::Close(id, attempt));
+                        self.orders.push(Order::Close(id, attempt, CloseReason::TimedOut));
                         self.settle(now, id, attempt, Outcome::TimedOut.into());
                         self.work_off(now);
                     }
@@ -346,9 +219,9 @@
                 Due::Deadline(id) => {
                     let Some(open) = self.open.get(&id) else { continue };
                     if !open.answered && open.bound.is_none() {
-                        self.answer(id, FinalAnswer::Failed { late: true });
+                        self.answer(now, id, FinalAnswer::Failed { late: true }, AnswerCause::Deadline);
                         self.tell(now, Event::ClientGone(id));
-                        self.close_attempts(now, id, None);
+                        self.close_attempts(now, id, None, CloseReason::Answered);
                         self.work_off(now);
                     }
                 }
@@ -397,18 +270,18 @@
         match action {
             Action::Send { request, replica, limit } => self.begin(now, request, replica, limit),
             Action::Refuse { request, retry_after, why } => {
-                self.answer(request, FinalAnswer::Refused(retry_after, why));
-                self.close_attempts(now, request, None);
+                self.answer(now, request, FinalAnswer::Refused(retry_after, why), AnswerCause::Refused(why));
+                self.close_attempts(now, request, None, CloseReason::Answered);
             }
             Action::Fail(request) => {
                 let late = self.open.get(&request).is_some_and(|o| now >= o.deadline);
-                self.answer(request, FinalAnswer::Failed { late });
-                self.close_attempts(now, request, None);
+                self.answer(now, request, FinalAnswer::Failed { late }, AnswerCause::NoAttemptLeft);
+                self.close_attempts(now, request, None, CloseReason::Answered);
             }
             Action::Cancel { request, attempt } => {
                 let Some(open) = self.open.get(&request) else { return };
                 if open.bound != Some(attempt) && open.out(attempt).is_some() {
-                    self.orders.push(Order::Close(request, attempt));
+                    self.orders.push(Order::Close(request, attempt, CloseReason::CalledOff));
                     self.settle(now, request, attempt, Outcome::Cancelled.into());
                 }
             }
@@ -422,10 +295,9 @@
     fn begin(&mut self, now: Nanos, id: RequestId, node: ReplicaId, limit: Nanos) {
         let try_limit = self.try_limit as usize;
         let Some(open) = self.open.get_mut(&id) else { return };
-        let attempt = open.attempts.len() as u32;
-        open.attempts.push(Attempt { begun: now, settled: false });
+        let attempt = open.begin_attempt(now);
         let over = open.answered || open.bound.is_some();
-        if over || now >= open.deadline || open.attempts.len() > try_limit {
+        if over || now >= open.deadline || open.attempts() > try_limit {
             return self.settle(now, id, attempt, Outcome::Skipped.into());
         }
         let until = match limit {
@@ -437,35 +309,25 @@
     }
 
     /// The one place where a request gets its final answer.
-    fn answer(&mut self, id: RequestId, with: FinalAnswer) {
+    fn answer(&mut self, now: Nanos, id: RequestId, answer: FinalAnswer, cause: AnswerCause) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
         open.answered = true;
-        match with {
-            FinalAnswer::Served => self.tallies.served += 1,
-            FinalAnswer::Broken => self.tallies.broken += 1,
-            FinalAnswer::Refused(_, why) => {
-                self.tallies.refused += 1;
-                self.tallies.refused_share += u64::from(why == Refusal::Share);
-            }
-            FinalAnswer::Failed { .. } => self.tallies.failed += 1,
-        }
-        self.orders.push(Order::Answer(id, with));
+        let summary = open.summary(now, cause);
+        self.tallies.note_answer(answer, cause);
+        self.orders.push(Order::Answer(id, answer, summary));
         self.forget_if_over(id);
     }
 
     /// Notes an attempt's outcome; the module hears of it from `work_off`.
     fn settle(&mut self, now: Nanos, id: RequestId, attempt: u32, end: AttemptEnd) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| !a.settled) else { return };
-        a.settled = true;
-        if let Some(i) = TALLIED.iter().position(|o| *o == end.outcome) {
-            self.tallies.outcomes[i] += 1;
-        }
+        let Some(begun) = open.settle(attempt, end.outcome) else { return };
+        self.tallies.note_outcome(end.outcome);
         self.news.push_back(Event::Ended(Ended {
             request: id,
             attempt,
             outcome: end.outcome,
-            after: now.saturating_sub(a.begun),
+            after: now.saturating_sub(begun),
             over: open.answered,
             kept_tokens: (end.outcome == Outcome::Done).then(|| end.kept.unwrap_or(0)),
             load: end.load,
@@ -474,20 +336,19 @@
     }
 
     /// Closes the attempts of a request that are still out.
-    fn close_attempts(&mut self, now: Nanos, id: RequestId, but: Option<u32>) {
+    fn close_attempts(&mut self, now: Nanos, id: RequestId, but: Option<u32>, why: CloseReason) {
         let Some(open) = self.open.get(&id) else { return };
-        let out = |&n: &u32| Some(n) != but && open.out(n).is_some();
-        let out: Vec<u32> = (0..open.attempts.len() as u32).filter(out).collect();
+        let out: Vec<u32> = open.all_out().filter(|&n| Some(n) != but).collect();
         for attempt in out {
-            self.orders.push(Order::Close(id, attempt));
+            self.orders.push(Order::Close(id, attempt, why));
             self.settle(now, id, attempt, Outcome::Cancelled.into());
         }
     }
 
     fn forget_if_over(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(|o| o.answered && o.attempts.iter().all(|a| a.settled)) {
+        if self.open.get(&id).is_some_and(Open::is_over) {
             let over = self.open.remove(&id);
-            self.stale += 1 + over.map_or(0, |o| o.attempts.len());
+            self.stale += 1 + over.map_or(0, |o| o.attempts());
             self.clear_due();
         }
     }
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -144,92 +144,133 @@
     tokio::time::sleep(host.limits.last_look).await;
 }
 
-async fn connection(
-    host: Rc<Host>,
-    client: Client,
-    mut idle: IdleGuard,
-    stream: TcpStream,
-    front: Rc<Front>,
-) {
-    let (host, crowded) = (&host, client.crowded);
+/// Why a client connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseCause {
+    /// It did not say, as it had to, where its client is.
+    NoOrigin,
+    /// Its client ended it, between two requests.
+    Ended,
+    /// It rested for too long.
+    Idle,
+    /// Its room was wanted for others.
+    RoomWanted,
+    /// The router ends.
+    Shutdown,
+    /// Reading from it failed, or it ended within a request.
+    ReadFailed(io::ErrorKind),
+    /// Writing an answer failed.
+    WriteFailed(io::ErrorKind),
+    /// Its last answer said, or its client or the router wanted, that it is the last.
+    Answered(Then),
+}
+
+async fn connection(host: Rc<Host>, client: Client, idle: IdleGuard, stream: TcpStream, front: Rc<Front>) {
+    // Held until the connection has closed: one whose room is wanted counts as leaving until then, and nobody else is
+    // closed for the room that it gives.
+    let mut idle = Some(idle);
     let mut wire = Wire::new(stream);
+    let cause = serve_requests(&host, &client, &mut idle, &mut wire, &front).await;
+    tracing::debug!(target: "front", ?cause, stage = ?host.drain.stage(), "connection closes");
+    match cause {
+        CloseCause::NoOrigin | CloseCause::ReadFailed(_) | CloseCause::WriteFailed(_) => {}
+        CloseCause::RoomWanted => linger(wire, host.limits.last_look).await,
+        CloseCause::Ended | CloseCause::Idle | CloseCause::Shutdown | CloseCause::Answered(_) => {
+            linger(wire, host.limits.linger).await
+        }
+    }
+}
+
+/// Serves one request after the other, until the connection is to be closed.
+async fn serve_requests(
+    host: &Rc<Host>,
+    client: &Client,
+    idle: &mut Option<IdleGuard>,
+    wire: &mut Wire,
+    front: &Front,
+) -> CloseCause {
+    let crowded = client.crowded;
     let origin = tokio::select! {
         biased;
-        origin = host.outward.origin(front.door(), &mut wire) => origin,
-        () = idle.room_wanted() => return linger(wire, host.limits.last_look).await,
+        origin = host.outward.origin(front.door(), wire) => origin,
+        () = room_wanted(idle) => return CloseCause::RoomWanted,
     };
-    let Some(Origin { client: from }) = origin else { return };
+    let Some(Origin { client: from }) = origin else { return CloseCause::NoOrigin };
     let mut keep_alive = KeepAlive::new(Instant::now(), crowded);
     loop {
         let rest = keep_alive.rest(&host.limits);
-        match wait_for_request(host, &mut idle, &mut wire, rest).await {
-            IdleEnd::Request => drop(idle),
-            IdleEnd::Expired => return linger(wire, host.limits.linger).await,
-            // It counts as leaving until it has closed: nobody else is closed for the room that it gives.
-            IdleEnd::RoomWanted => return linger(wire, host.limits.last_look).await,
+        if let Err(cause) = wait_for_request(host, idle, wire, rest).await {
+            return cause;
         }
+        *idle = None;
         let since = host.clock.at(wire.first_read());
         let begun = keep_alive.begins(Instant::now(), &host.limits);
         if let Some(pause) = begun.pause {
             tokio::time::sleep(pause).await;
         }
-        let read = timeout_at(begun.whole_by.into(), read_request(host, &mut wire, since));
+        let read = timeout_at(begun.whole_by.into(), read_request(host, wire, since));
         let request = read.await.unwrap_or(Ok(Err(Rejection::Slow)));
         wire.message_taken();
         let request = match request {
             Ok(request) => request.map(|r| Incoming { client: from, ..r }),
-            Err(_) => return,
+            Err(e) => return CloseCause::ReadFailed(e.kind()),
         };
         if let Err(rejection) = &request {
             tracing::debug!(target: "front", client = ?from, why = ?rejection, "no request that could be taken");
         }
         let (keeps, then) = match request {
             Ok(r) if crowded && !front.asks_health(&r) => {
-                (false, front.reject(host, &mut wire, Rejection::Full).await)
+                (false, front.reject(host, wire, Rejection::Full).await)
             }
-            Ok(request) => (request.head.keeps(), front.answer(host, &mut wire, request).await),
-            Err(rejection) => (false, front.reject(host, &mut wire, rejection).await),
+            Ok(request) => (request.head.keeps(), front.answer(host, wire, request).await),
+            Err(rejection) => (false, front.reject(host, wire, rejection).await),
+        };
+        let then = match then {
+            Ok(then) => then,
+            Err(e) => return CloseCause::WriteFailed(e.kind()),
         };
-        let Ok(then) = then else { return };
         if !keep_alive.answered(Instant::now(), then, keeps, host.drain.stage()) {
-            return linger(wire, host.limits.linger).await;
+            return CloseCause::Answered(then);
         }
-        idle = client.idle();
+        *idle = Some(client.idle());
     }
 }
 
-/// What comes of a connection that carries nothing.
-enum IdleEnd {
-    /// A request begins.
-    Request,
-    /// Its time is over, or its client's end has come: what its client may send in this moment is not to reset it.
-    Expired,
-    /// Its room is needed at once, and no request has arrived.
-    RoomWanted,
+/// Waits until the room of a connection that carries nothing is wanted for others.
+async fn room_wanted(idle: &mut Option<IdleGuard>) {
+    match idle {
+        Some(idle) => idle.room_wanted().await,
+        None => std::future::pending().await,
+    }
 }
 
-/// Waits until a request begins, or the connection is to be closed instead.
-async fn wait_for_request(host: &Host, idle: &mut IdleGuard, wire: &mut Wire, rest: Rest) -> IdleEnd {
+/// Waits until a request begins; or else why the connection is to be closed instead.
+async fn wait_for_request(
+    host: &Host,
+    idle: &mut Option<IdleGuard>,
+    wire: &mut Wire,
+    rest: Rest,
+) -> Result<(), CloseCause> {
     if !wire.buf.is_empty() {
         // One request in a turn, however many a client sends ahead: the others' events would else wait.
         tokio::task::yield_now().await;
-        return IdleEnd::Request;
+        return Ok(());
     }
     wire.rest();
     let read = tokio::select! {
         biased;
         read = wire.more() => read,
-        () = parted(host, rest.until) => return IdleEnd::Expired,
+        () = parted(host, rest.until) => return Err(CloseCause::Shutdown),
         // A request may have arrived since the event loop last looked at the sockets.
-        () = idle.room_wanted() => match wire.arrived().await {
+        () = room_wanted(idle) => match wire.arrived().await {
             Some(read) => read,
-            None => return IdleEnd::RoomWanted,
+            None => return Err(CloseCause::RoomWanted),
         },
-        () = tokio::time::sleep(rest.limit) => return IdleEnd::Expired,
+        () = tokio::time::sleep(rest.limit) => return Err(CloseCause::Idle),
     };
     match read {
-        Ok(true) => IdleEnd::Request,
-        _ => IdleEnd::Expired,
+        Ok(true) => Ok(()),
+        _ => Err(CloseCause::Ended),
     }
 }
 
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -15,7 +15,7 @@
 
 use crate::clients::Clients;
 use crate::config::Config;
-use crate::core::{Ask, Core, FinalAnswer, Order};
+use crate::core::{AnswerCause, Ask, Core, FinalAnswer, Order, RequestSummary};
 use crate::dialect::{Dialect, Event};
 use crate::limits::Limits;
 use crate::names::{Name, Names};
@@ -125,7 +125,16 @@
     pub reserved: Reserved,
 }
 
+/// A client that waits for its answer.
 struct Waiting {
+    /// Its name for the request, for the log.
+    name: Bytes,
+    /// What attempts need, until one of them has begun the answer.
+    unbegun: Option<Unbegun>,
+}
+
+/// What an attempt needs to begin.
+struct Unbegun {
     pieces: mpsc::Sender<Piece>,
     prompt: Rc<Prompt>,
 }
@@ -275,7 +284,8 @@
             class = self.deployment.classes.get(class).map_or("", |c| &c.name),
             partner = self.deployment.partners.get(partner).map_or("", |p| p), client = prompt.client.map(tracing::field::display),
             session, beginning, tokens, shared, left_ms, "request taken");
-        self.waiting.borrow_mut().insert(id, Waiting { pieces, prompt: Rc::new(prompt) });
+        let unbegun = Some(Unbegun { pieces, prompt: Rc::new(prompt) });
+        self.waiting.borrow_mut().insert(id, Waiting { name: name.bytes(), unbegun });
         self.carry_out(orders);
         Some(Ticket { host: self.clone(), id, _name: name, pieces: receiver })
     }
@@ -285,7 +295,7 @@
             match order {
                 Order::Begin(id, attempt, node, deadline) => {
                     let waiting = self.waiting.borrow();
-                    let Some(w) = waiting.get(&id) else { continue };
+                    let Some(w) = waiting.get(&id).and_then(|w| w.unbegun.as_ref()) else { continue };
                     let (pieces, prompt, text) = (w.pieces.clone(), Some(w.prompt.clone()), w.prompt.text);
                     tracing::debug!(target: "node", request = id.0, attempt, node = %self.nodes.named(node),
                         "attempt begun");
@@ -302,18 +312,21 @@
                     let task = tokio::task::spawn_local(run.run());
                     self.attempts.borrow_mut().insert((id, attempt), task.abort_handle());
                 }
-                Order::Close(id, attempt) => {
+                Order::Close(id, attempt, why) => {
                     if let Some(task) = self.attempts.borrow_mut().remove(&(id, attempt)) {
+                        tracing::debug!(target: "node", request = id.0, attempt, ?why, "attempt closed");
                         task.abort();
                     }
                 }
-                Order::Answer(id, answer) => {
-                    tracing::debug!(target: "request", request = id.0, answer = ?answer, "final answer");
-                    let Some(w) = self.waiting.borrow_mut().remove(&id) else { continue };
+                Order::Answer(id, answer, summary) => {
+                    let waiting = self.waiting.borrow_mut().remove(&id);
+                    log_answer(id, waiting.as_ref().map(|w| &w.name[..]), answer, summary);
                     // The end of a begun stream follows its events, from the task that passes them on.
-                    if matches!(answer, FinalAnswer::Refused(..) | FinalAnswer::Failed { .. }) {
-                        // Nothing was sent before it, so there is room.
-                        let _ = w.pieces.try_send(Piece::Answer(answer));
+                    if let Some(Unbegun { pieces, .. }) = waiting.and_then(|w| w.unbegun) {
+                        if matches!(answer, FinalAnswer::Refused(..) | FinalAnswer::Failed { .. }) {
+                            // Nothing was sent before it, so there is room.
+                            let _ = pieces.try_send(Piece::Answer(answer));
+                        }
                     }
                 }
                 Order::Probe(id) => {
@@ -332,7 +345,9 @@
 
     /// A request is bound: its prompt is of no more use.
     pub fn forget_prompt(&self, id: RequestId) {
-        self.waiting.borrow_mut().remove(&id);
+        if let Some(waiting) = self.waiting.borrow_mut().get_mut(&id) {
+            waiting.unbegun = None;
+        }
     }
 
     /// An attempt's task is at its end.
@@ -370,6 +385,18 @@
     }
 }
 
+/// Logs a final answer: all of them at level `debug`, those that the router's own end forces at `info`.
+fn log_answer(id: RequestId, name: Option<&[u8]>, answer: FinalAnswer, summary: RequestSummary) {
+    let RequestSummary { cause, age, attempts, unsettled, may_have_run } = summary;
+    let (name, age_ms) = (String::from_utf8_lossy(name.unwrap_or_default()), age / 1_000_000);
+    if cause == AnswerCause::Shutdown {
+        tracing::info!(target: "drain", request = id.0, %name, ?answer, age_ms, attempts, unsettled, may_have_run,
+            "answered because the router ends");
+    }
+    tracing::debug!(target: "request", request = id.0, %name, ?answer, ?cause, age_ms, attempts, unsettled,
+        may_have_run, "final answer");
+}
+
 /// A client's place in the queue.
 pub struct Ticket {
     host: Rc<Host>,
--- a/router/src/names.rs
+++ b/router/src/names.rs
@@ -53,6 +53,13 @@
     most_late: usize,
 }
 
+impl Name {
+    /// The name.
+    pub fn bytes(&self) -> Bytes {
+        self.name.clone()
+    }
+}
+
 impl Drop for Name {
     fn drop(&mut self) {
         let mut held = self.held.borrow_mut();
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -294,9 +294,14 @@
         };
         // Broken before its last byte was written, the request cannot have run.
         let Some((head, body)) = self.message() else { return Outcome::Skipped.into() };
-        if link.wire.write(head.chain(body)).await.is_err() {
+        self.host.with(|core, _| core.written(self.id, self.attempt));
+        if let Err(e) = link.wire.write(head.chain(body)).await {
+            tracing::debug!(target: "node", request = self.id.0, attempt = self.attempt, why = %e,
+                "attempt not written whole");
             return Outcome::Refused.into();
         }
+        tracing::debug!(target: "node", request = self.id.0, attempt = self.attempt, reused = link.reused,
+            "attempt written");
         let _out = Out::on(&self.host, self.node);
         let silent = Silent { nodes: &self.host.nodes, node: self.node };
         let more = link.wire.more().await;
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -48,7 +48,14 @@
 
     /// Goes on to a stage.
     pub fn enter(&self, stage: Stage) {
-        self.stage.send_if_modified(|s| std::mem::replace(s, stage) != stage);
+        let mut from = stage;
+        let changed = self.stage.send_if_modified(|s| {
+            from = std::mem::replace(s, stage);
+            from != stage
+        });
+        if changed {
+            tracing::info!(target: "drain", ?from, to = ?stage, "stage");
+        }
     }
 
     /// Waits for a stage, or a later one.
@@ -95,7 +102,10 @@
 pub async fn on_signal(host: Rc<Host>, board: Option<Rc<Board>>, mut termination: Termination) {
     let Some(board) = board else {
         termination.told().await;
-        drain(&host).await;
+        tokio::select! {
+            () = drain(&host) => {}
+            () = note_further_signals(&mut termination) => {}
+        }
         return;
     };
     tokio::select! {
@@ -114,6 +124,14 @@
     close(&host, &board).await;
 }
 
+/// Logs that the order to end has come again: it changes nothing. Never ends.
+async fn note_further_signals(termination: &mut Termination) {
+    loop {
+        termination.told().await;
+        tracing::info!(target: "drain", "told to end again: is ending already");
+    }
+}
+
 /// Waits for a drain to come to the closing of the listeners, and closes.
 pub async fn when_drained(host: &Rc<Host>, board: &Board) {
     closing(board).await;
@@ -171,6 +189,8 @@
     if timeout_at(until.into(), &mut finished).await.is_err() {
         // Whoever has come late in the grace is owed an end while there is one to give.
         let owed = told.saturating_add(host.limits.owed_after.as_nanos() as u64);
+        let open = host.with(|core, _| core.open());
+        tracing::info!(target: "drain", clients = host.clients.open(), open, "the kill is near: answers what waits");
         host.with(|core, now| core.cut(now, owed));
         let _ = timeout(host.limits.finish, finished).await;
     }
--- a/router/src/status.rs
+++ b/router/src/status.rs
@@ -4,9 +4,21 @@
 use std::fmt::Write;
 use std::rc::Rc;
 
+use crate::core::Tallies;
 use crate::host::Host;
 use crate::log::Log;
 
+/// The counts of final answers in one line.
+pub fn answers(tallies: &Tallies) -> String {
+    let Tallies { taken, served, broken, refused, refused_share, failed, failed_late, left, .. } = tallies;
+    let Tallies { broken_shutdown, refused_shutdown, failed_shutdown, .. } = tallies;
+    format!(
+        "requests taken {taken}, served {served}, broken {broken} ({broken_shutdown} by shutdown), \
+         refused {refused} ({refused_share} over share, {refused_shutdown} by shutdown), \
+         failed {failed} ({failed_late} late, {failed_shutdown} by shutdown), left {left}"
+    )
+}
+
 /// The state in one line.
 pub fn line(host: &Rc<Host>) -> String {
     let (open, noted, view) = host.with(|core, now| (core.open(), core.noted(), core.view(now)));
@@ -43,6 +55,7 @@
     loop {
         every.tick().await;
         tracing::info!(target: "status", "{}", line(&host));
+        tracing::info!(target: "status", "{}", host.with(|core, _| answers(core.tallies())));
         let dropped = log.as_ref().map_or(0, |log| log.newly_dropped());
         if dropped > 0 {
             tracing::warn!(target: "status", dropped, "lines of the log were dropped");
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -27,7 +27,7 @@
 }
 
 fn answers(orders: &[Order]) -> Vec<FinalAnswer> {
-    let answer = |o: &Order| if let Order::Answer(_, a) = o { Some(*a) } else { None };
+    let answer = |o: &Order| if let Order::Answer(_, a, _) = o { Some(*a) } else { None };
     orders.iter().filter_map(answer).collect()
 }
 
@@ -38,7 +38,7 @@
     assert!(matches!(core.orders()[..], [Order::Begin(_, 0, ..)]));
     core.tick(START + 100 * MS);
     let orders = core.orders();
-    assert!(matches!(orders[0], Order::Close(_, 0)), "{orders:?}");
+    assert!(matches!(orders[0], Order::Close(_, 0, _)), "{orders:?}");
     assert!(matches!(answers(&orders)[..], [FinalAnswer::Refused(1.., Refusal::Room)]), "{orders:?}");
     assert!(!core.started(START + 101 * MS, id, 0));
     core.ended(START + 102 * MS, id, 0, Outcome::Done.into());
@@ -72,7 +72,7 @@
     core.client_left(START + MS, id);
     core.ended(START + 2 * MS, id, 0, Outcome::Error.into());
     let orders = core.orders();
-    assert!(matches!(orders[..], [Order::Close(_, 0)]), "{orders:?}");
+    assert!(matches!(orders[..], [Order::Close(_, 0, _)]), "{orders:?}");
     assert_eq!((core.open(), core.tallies().left), (0, 1));
 }
 
@@ -225,8 +225,10 @@
                     assert!(*attempt < set.try_limit && !answered.contains_key(id), "rule 1: {order:?}");
                     out.push((*id, *attempt, false));
                 }
-                Order::Close(id, attempt) => out.retain(|(i, a, _)| (i, a) != (id, attempt)),
-                Order::Answer(id, with) => assert_eq!(answered.insert(*id, *with), None, "one final answer"),
+                Order::Close(id, attempt, _) => out.retain(|(i, a, _)| (i, a) != (id, attempt)),
+                Order::Answer(id, with, _) => {
+                    assert_eq!(answered.insert(*id, *with), None, "one final answer")
+                }
                 Order::Probe(_) => assert!(set.probes, "no probe where none is allowed"),
                 Order::Tell(bytes) => assert!(set.peers && bytes.len() <= 256),
                 Order::Watch => assert!(set.list != ListMode::Pushed),
