--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod checkers;
 pub mod park;
 pub mod relay;
+pub mod trial;
--- /dev/null
+++ b/standin/src/trial/mod.rs
@@ -0,0 +1,163 @@
+//! A trial of one router process: it is told to end while clients go on sending and replicas misbehave, and is killed at
+//! the earliest moment that the protocol allows. Observers that see only the bytes of clients and replicas then check
+//! the rules. A [`Plan`] says what happens; most are drawn by a seed, so that a trial can be played again.
+
+mod client;
+mod plan;
+mod process;
+mod replica;
+mod verdict;
+mod wire;
+
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+pub use client::{Ending, Try};
+pub use plan::{Behaviour, Class, Effect, Group, Plan, ReplicaPlan, Shim, Signal};
+pub use replica::{Received, ReplicaEnd};
+use tokio::time::Instant;
+pub use verdict::{Break, Rule};
+
+use crate::park::{List, Reserved};
+use process::Router;
+
+/// The harness is on time if it is never later than this; else rules about times are not judged.
+const ON_TIME: Duration = Duration::from_millis(60);
+/// How often its lateness is looked at.
+const LOOK: Duration = Duration::from_millis(5);
+/// A router has to be ready within this.
+const READY: Duration = Duration::from_secs(20);
+
+/// What was seen in a trial.
+#[derive(Debug)]
+pub struct Report {
+    /// The rules that were broken.
+    pub breaks: Vec<Break>,
+    /// Requests that clients sent.
+    pub requests: usize,
+    /// Attempts that replicas received whole.
+    pub received: usize,
+    /// Final answers by status, in the order of their number.
+    pub statuses: std::collections::BTreeMap<u16, usize>,
+    /// Attempts that came to replicas in the last part of the shutdown, and that the router gave up.
+    pub given_up_late: usize,
+    /// Requests that were open when the router was killed.
+    pub killed: usize,
+    /// The harness was late by so much at the most.
+    pub late: Duration,
+    /// Whether rules about times were judged.
+    pub on_time: bool,
+    /// Where the router's log is; gone with the report.
+    pub log: PathBuf,
+    _dir: tempfile::TempDir,
+}
+
+/// What all tasks of a trial share.
+struct Trial {
+    plan: Plan,
+    began: Instant,
+    front: std::net::SocketAddr,
+    /// Clients begin no further request.
+    over: Cell<bool>,
+    /// Seconds since the start, once the signals were sent.
+    told: Cell<Option<Duration>>,
+    killed: Cell<Option<Duration>>,
+    tries: RefCell<Vec<Try>>,
+    received: RefCell<Vec<Received>>,
+}
+
+impl Trial {
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// A random source for a part of the trial, the same in each play of the plan.
+    fn random(&self, part: u64) -> fastrand::Rng {
+        fastrand::Rng::with_seed(self.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ part)
+    }
+}
+
+/// Plays a plan with this program on addresses of this IP.
+pub fn play(program: &Path, ip: &str, plan: &Plan) -> std::io::Result<Report> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, played(program, ip, plan))
+}
+
+async fn played(program: &Path, ip: &str, plan: &Plan) -> std::io::Result<Report> {
+    let dir = tempfile::tempdir()?;
+    let reserved = Reserved::on(ip)?;
+    let trial = Rc::new(Trial {
+        plan: plan.clone(),
+        began: Instant::now(),
+        front: reserved.at,
+        over: Cell::new(false),
+        told: Cell::new(None),
+        killed: Cell::new(None),
+        tries: RefCell::default(),
+        received: RefCell::default(),
+    });
+    let mut rows = Vec::new();
+    for number in 0..plan.replicas.len() {
+        let at = replica::start(&trial, ip, number).await?;
+        rows.push(plan.row(number, at));
+    }
+    let list = List::start(ip, &rows);
+    let late = Rc::new(Cell::new(Duration::ZERO));
+    let watch = tokio::task::spawn_local(note_lateness(late.clone()));
+    let mut router = Router::start(program, dir.path(), &trial, list.at)?;
+    router.until_ready(READY).await?;
+    let clients: Vec<_> = (0..plan.clients)
+        .map(|n| tokio::task::spawn_local(client::run(trial.clone(), n as u64)))
+        .chain((0..plan.crowd).map(|_| tokio::task::spawn_local(client::idle(trial.clone()))))
+        .collect();
+    tokio::time::sleep(plan.quiet).await;
+    late.set(Duration::ZERO);
+    let exit = router.end(&trial).await?;
+    trial.over.set(true);
+    // Whatever the end of its connections tells the clients arrives at once.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    clients.iter().for_each(|c| c.abort());
+    watch.abort();
+    let on_time = late.get() < ON_TIME;
+    let log = router.log();
+    let tries = trial.tries.borrow();
+    let received = trial.received.borrow();
+    let mut statuses = std::collections::BTreeMap::new();
+    for status in tries.iter().filter_map(|t| t.ending.status()) {
+        *statuses.entry(status).or_default() += 1;
+    }
+    let seen = verdict::Seen {
+        plan,
+        tries: &tries,
+        received: &received,
+        told: trial.told.get().unwrap_or_default(),
+        killed: trial.killed.get(),
+        exit,
+        log: &std::fs::read_to_string(&log).unwrap_or_default(),
+        on_time,
+    };
+    let late_from = seen.told + verdict::OWED_AFTER;
+    let given_up_late = |r: &&Received| r.at > late_from && r.end == ReplicaEnd::GivenUp;
+    Ok(Report {
+        given_up_late: received.iter().filter(given_up_late).count(),
+        breaks: verdict::judge(&seen),
+        requests: tries.len(),
+        received: received.iter().filter(|r| r.whole_at.is_some()).count(),
+        statuses,
+        killed: tries.iter().filter(|t| t.ending == Ending::Open).count(),
+        late: late.get(),
+        on_time,
+        log,
+        _dir: dir,
+    })
+}
+
+async fn note_lateness(late: Rc<Cell<Duration>>) {
+    loop {
+        let due = Instant::now() + LOOK;
+        tokio::time::sleep_until(due).await;
+        late.set(late.get().max(Instant::now() - due));
+    }
+}
--- /dev/null
+++ b/standin/src/trial/process.rs
@@ -0,0 +1,136 @@
+//! The router of a trial: a process of its own, its signals and its kill.
+
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::{sleep, Instant};
+
+use super::wire::Wire;
+use super::Trial;
+
+/// The log of every request, so that a break can be explained.
+const SETTINGS: &str = "log {\n level debug\n queue 65536\n}\n";
+/// Between two looks whether the process has ended.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// The process, killed with this.
+pub(super) struct Router {
+    child: Child,
+    front: SocketAddr,
+    log: PathBuf,
+}
+
+/// How the process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Exit {
+    /// On its own.
+    Itself(ExitStatus),
+    /// By SIGKILL.
+    Killed,
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Router {
+    pub fn start(program: &Path, dir: &Path, trial: &Rc<Trial>, list: SocketAddr) -> io::Result<Router> {
+        let (config, settings, log) = (dir.join("config.json"), dir.join("t.conf"), dir.join("log"));
+        std::fs::write(&config, trial.plan.configuration(trial.front, list).to_string())?;
+        std::fs::write(&settings, SETTINGS)?;
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--settings").arg(&settings);
+        command.env_clear().env("PROXY_CONFIG", &config);
+        if let Some(shim) = &trial.plan.shim {
+            command.env("LD_PRELOAD", &shim.library);
+            command.env("FAULT_SEED", trial.plan.seed.to_string());
+            command.env("FAULT_FAILURES", shim.failures.to_string());
+            command.env("FAULT_SHORT", shim.short.to_string());
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(&log)?).spawn()?;
+        Ok(Router { child, front: trial.front, log })
+    }
+
+    pub fn log(&self) -> PathBuf {
+        self.log.clone()
+    }
+
+    pub async fn until_ready(&mut self, limit: Duration) -> io::Result<()> {
+        let begun = Instant::now();
+        while !self.is_ready().await {
+            if begun.elapsed() > limit || self.child.try_wait()?.is_some() {
+                let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+                return Err(io::Error::other(format!("the router is not ready: {log}")));
+            }
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self) -> bool {
+        let Ok(stream) = TcpStream::connect(self.front).await else { return false };
+        let mut wire = Wire::new(stream);
+        if wire.write(b"GET /up HTTP/1.1\r\nHost: b\r\n\r\n").await.is_err() {
+            return false;
+        }
+        matches!(tokio::time::timeout(Duration::from_secs(1), wire.head()).await, Ok(Ok(h)) if h.status() == 200)
+    }
+
+    fn signal(&self, name: &str) -> io::Result<()> {
+        Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .stderr(Stdio::null())
+            .status()
+            .map(drop)
+    }
+
+    /// Tells it to end, sends the other signals of the plan, and kills it at the end of its time.
+    pub async fn end(&mut self, trial: &Rc<Trial>) -> io::Result<Exit> {
+        let plan = &trial.plan;
+        let kill_after = plan.kill_after() + plan.grace;
+        let mut orders: Vec<(Duration, &str)> = plan.signals.iter().map(|s| (s.after, s.name)).collect();
+        for (after, held) in &plan.stops {
+            // Never across the kill: a process that is held up then has no time of its own.
+            if *after + *held + Duration::from_millis(200) < kill_after {
+                orders.extend([(*after, "-STOP"), (*after + *held, "-CONT")]);
+            }
+        }
+        orders.sort();
+        trial.told.set(Some(trial.now()));
+        self.signal("-TERM")?;
+        let told = Instant::now();
+        for (after, name) in orders {
+            if let Some(status) = self.wait_until(told + after).await? {
+                return Ok(Exit::Itself(status));
+            }
+            self.signal(name)?;
+        }
+        if let Some(status) = self.wait_until(told + kill_after).await? {
+            return Ok(Exit::Itself(status));
+        }
+        trial.killed.set(Some(trial.now()));
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(Exit::Killed)
+    }
+
+    /// Waits until then, or until the process has ended.
+    async fn wait_until(&mut self, at: Instant) -> io::Result<Option<ExitStatus>> {
+        while Instant::now() < at {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(Some(status));
+            }
+            sleep(LOOK.min(at - Instant::now())).await;
+        }
+        Ok(None)
+    }
+}
