Refuse nothing that may have run: one rule for every final answer

Cause: the last step of a shutdown answered whatever had not begun as refused (Core::cut), without a look at the class's effect; only the decision module knew the rule, and each path that answers beside it had to know it too. Ruled out: outcomes taken for 'never ran' (none had ended), waits that were over, changes of the list, SIGHUP. The class of fault: a promise given at a place that does not hold its condition. Change: Effect::may_refuse is the rule, and Core::answer applies it to each final answer, by what was really written; a request is asked for just before its first byte (Core::may_write), which also stops what is over and repeats after their window. Related paths mended: a crowd kept the listener open up to the kill, as accepting went first; requests read after the last answers were sent on; streams were cut where clients don't ask for the rest; a connection closed without a word under a stream cut before its first event; EINTR, ENOMEM and ENOBUFS ended connections, and counted against nodes or kept the program from starting; a 504 of the messages API advised to come back. What is owed at the kill counts from 0.5 s after the order, not 0.6, as the router may see the order 0.15 s late.

--- /dev/null
+++ b/router/src/bind.rs
@@ -0,0 +1,38 @@
+//! Sockets that the program wants at its start: an error of a moment does not end it.
+
+use std::io;
+use std::time::Duration;
+
+use tokio::time::{sleep, Instant};
+
+/// What fails for a moment is tried again for so long.
+const LIMIT: Duration = Duration::from_secs(3);
+/// And after this.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Whether an error may be gone in a moment: descriptors, memory or buffers are short, or a signal cut the call short. An
+/// address that another has is none: whoever supervises the program has to hear of it at once.
+fn is_momentary(e: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const ENOBUFS: i32 = 105;
+    let kinds = [io::ErrorKind::Interrupted, io::ErrorKind::OutOfMemory];
+    kinds.contains(&e.kind()) || matches!(e.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+}
+
+/// Binds, again and again while that fails for a moment.
+pub async fn patiently<T>(bind: impl AsyncFn() -> io::Result<T>) -> io::Result<T> {
+    let until = Instant::now() + LIMIT;
+    let mut failed = false;
+    loop {
+        match bind().await {
+            Err(e) if is_momentary(&e) && Instant::now() < until => {
+                if !std::mem::replace(&mut failed, true) {
+                    tracing::warn!(target: "router", why = %e, "a socket cannot be had yet: tries again");
+                }
+                sleep(PAUSE).await;
+            }
+            bound => return bound,
+        }
+    }
+}
--- a/router/src/core/answer.rs
+++ b/router/src/core/answer.rs
@@ -46,6 +46,8 @@
     pub unsettled: usize,
     /// Whether a replica may have run it.
     pub may_have_run: bool,
+    /// It was to be refused, and failed instead, because it may have run.
+    pub withheld: bool,
 }
 
 /// Counts of what became of requests and attempts.
@@ -75,6 +77,8 @@
     pub failed_late: u64,
     /// Those of them that were given because the router was about to end.
     pub failed_shutdown: u64,
+    /// Those of them that were to be refusals, of requests that may have run.
+    pub withheld: u64,
     /// Clients that left first.
     pub left: u64,
     /// Outcomes of attempts, in the order of [`TALLIED`].
@@ -107,8 +111,9 @@
     }
 
     /// Counts a final answer.
-    pub(super) fn note_answer(&mut self, answer: FinalAnswer, cause: AnswerCause) {
-        let shutdown = u64::from(cause == AnswerCause::Shutdown);
+    pub(super) fn note_answer(&mut self, answer: FinalAnswer, summary: &RequestSummary) {
+        let shutdown = u64::from(summary.cause == AnswerCause::Shutdown);
+        self.withheld += u64::from(summary.withheld);
         match answer {
             FinalAnswer::Served => self.served += 1,
             FinalAnswer::Broken => {
--- a/router/src/core/mod.rs
+++ b/router/src/core/mod.rs
@@ -48,6 +48,8 @@
 /// The core of one router.
 pub struct Core {
     module: Balancer,
+    /// What repeating a request of each class does.
+    effects: Vec<Effect>,
     try_limit: u32,
     slack: Nanos,
     open: FxHashMap<RequestId, Open>,
@@ -70,7 +72,9 @@
     /// A core that decides by a module; it answers `slack` after a deadline if the module has not.
     pub fn new(settings: Settings, seed: u64, slack: Nanos) -> Result<Core, SettingsError> {
         let try_limit = settings.try_limit;
+        let effects = settings.classes.iter().map(|c| c.effect).collect();
         Ok(Core {
+            effects,
             module: Balancer::new(settings, seed)?,
             try_limit,
             slack,
@@ -87,11 +91,16 @@
         })
     }
 
+    /// What repeating a request of a class does; of one that the settings lack, the worst.
+    fn effect_of(&self, class: ClassId) -> Effect {
+        self.effects.get(class.0 as usize).copied().unwrap_or(Effect::SideEffect)
+    }
+
     /// Takes a request.
     pub fn take(&mut self, now: Nanos, ask: Ask) -> RequestId {
         self.last_id += 1;
         let id = RequestId(self.last_id);
-        let open = Open::new(now, ask.left);
+        let open = Open::new(now, ask.left, self.effect_of(ask.class));
         self.due.push(Reverse((open.deadline.saturating_add(self.slack), Due::Deadline(id))));
         self.open.insert(id, open);
         self.tallies.taken += 1;
@@ -100,11 +109,15 @@
         id
     }
 
-    /// An attempt is about to write its request: from here on a replica may run it.
-    pub fn written(&mut self, id: RequestId, attempt: u32) {
-        if let Some(attempt) = self.open.get_mut(&id).and_then(|o| o.out_mut(attempt)) {
+    /// An attempt is about to write its request. True: it may, and from here on a replica may run it. False: the request
+    /// is over, or it is too late for a repeat.
+    pub fn may_write(&mut self, now: Nanos, id: RequestId, attempt: u32) -> bool {
+        let Some(open) = self.open.get_mut(&id) else { return false };
+        let may = open.may_write(now, attempt);
+        if let Some(attempt) = open.out_mut(attempt).filter(|_| may) {
             attempt.written = true;
         }
+        may
     }
 
     /// The first event of an attempt has come. True: the request is bound to it, and its events go to the
@@ -151,13 +164,18 @@
         self.work_off(now);
     }
 
-    /// The end is near for what was taken after a point in time: streams break off, so that their clients
-    /// ask another router for the rest, and what has not begun is refused.
-    pub fn cut(&mut self, now: Nanos, taken_after: Nanos) {
-        let late = |(id, o): (&RequestId, &Open)| (!o.answered && o.taken > taken_after).then_some(*id);
-        let mut late: Vec<RequestId> = self.open.iter().filter_map(late).collect();
-        late.sort_unstable();
-        for id in late {
+    /// The router is about to end. What has not begun is answered: refused where that is harmless, else failed. Streams
+    /// of requests taken after `owed_after` break off, so that their clients ask another router for the rest; `None`: they
+    /// don't ask, and streams go on to the last.
+    pub fn answer_before_end(&mut self, now: Nanos, owed_after: Option<Nanos>) {
+        let ends = |open: &Open| match open.bound {
+            None => true,
+            Some(_) => owed_after.is_some_and(|after| open.taken > after),
+        };
+        let ends = self.open.iter().filter(|(_, open)| !open.answered && ends(open));
+        let mut ends: Vec<RequestId> = ends.map(|(id, _)| *id).collect();
+        ends.sort_unstable();
+        for id in ends {
             let begun = self.open.get(&id).is_some_and(|o| o.bound.is_some());
             let answer = if begun { FinalAnswer::Broken } else { FinalAnswer::Refused(0, Refusal::Room) };
             self.answer(now, id, answer, AnswerCause::Shutdown);
@@ -308,12 +326,14 @@
         self.orders.push(Order::Begin(id, attempt, node, open.deadline));
     }
 
-    /// The one place where a request gets its final answer.
-    fn answer(&mut self, now: Nanos, id: RequestId, answer: FinalAnswer, cause: AnswerCause) {
+    /// The one place where a request gets its final answer. Whoever asks for it: none that may have run is refused where
+    /// a further try could do harm.
+    fn answer(&mut self, now: Nanos, id: RequestId, wanted: FinalAnswer, cause: AnswerCause) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+        let answer = open.permitted(now, wanted);
         open.answered = true;
-        let summary = open.summary(now, cause);
-        self.tallies.note_answer(answer, cause);
+        let summary = open.summary(now, cause, answer != wanted);
+        self.tallies.note_answer(answer, &summary);
         self.orders.push(Order::Answer(id, answer, summary));
         self.forget_if_over(id);
     }
--- a/router/src/core/request.rs
+++ b/router/src/core/request.rs
@@ -1,8 +1,9 @@
 //! A request as a front hands it in, and what the core remembers of it while it is open.
 
 use tallypin::api::*;
+use tallypin::effect::WRITE_TIME;
 
-use super::answer::{AnswerCause, RequestSummary};
+use super::answer::{AnswerCause, FinalAnswer, RequestSummary};
 
 /// A request as a front hands it in.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -111,6 +112,7 @@
 pub(super) struct Open {
     pub(super) taken: Nanos,
     pub(super) deadline: Nanos,
+    effect: Effect,
     attempts: Vec<Attempt>,
     /// The attempt whose stream the client has.
     pub(super) bound: Option<u32>,
@@ -118,9 +120,9 @@
 }
 
 impl Open {
-    pub(super) fn new(now: Nanos, left: Nanos) -> Open {
+    pub(super) fn new(now: Nanos, left: Nanos, effect: Effect) -> Open {
         let deadline = now.saturating_add(left);
-        Open { taken: now, deadline, attempts: Vec::new(), bound: None, answered: false }
+        Open { taken: now, deadline, effect, attempts: Vec::new(), bound: None, answered: false }
     }
 
     /// One more attempt; its number.
@@ -161,19 +163,44 @@
         self.attempts.iter().any(Attempt::may_have_run)
     }
 
+    /// The answer that may be given in place of this one: a refusal promises that a further try does no harm.
+    pub(super) fn permitted(&self, now: Nanos, answer: FinalAnswer) -> FinalAnswer {
+        match answer {
+            FinalAnswer::Refused(..) if !self.effect.may_refuse(self.may_have_run()) => {
+                FinalAnswer::Failed { late: now >= self.deadline }
+            }
+            answer => answer,
+        }
+    }
+
+    /// Whether the request may be written for an attempt now: it is still out, its client still waits, and if another
+    /// attempt may have run, there is time for a repeat.
+    pub(super) fn may_write(&self, now: Nanos, attempt: u32) -> bool {
+        let waits = !self.answered && self.bound.is_none() && now < self.deadline;
+        let others =
+            self.attempts.iter().enumerate().filter(|(n, a)| *n != attempt as usize && a.may_have_run());
+        let may_repeat = |earlier: &Attempt| {
+            self.effect
+                .repeat_until(earlier.begun)
+                .is_some_and(|until| now.saturating_add(WRITE_TIME) < until)
+        };
+        waits && self.out(attempt).is_some() && others.into_iter().all(|(_, a)| may_repeat(a))
+    }
+
     /// Whether it has its answer and no attempt is out.
     pub(super) fn is_over(&self) -> bool {
         self.answered && self.all_out().next().is_none()
     }
 
     /// What the log tells of it.
-    pub(super) fn summary(&self, now: Nanos, cause: AnswerCause) -> RequestSummary {
+    pub(super) fn summary(&self, now: Nanos, cause: AnswerCause, withheld: bool) -> RequestSummary {
         RequestSummary {
             cause,
             age: now.saturating_sub(self.taken),
             attempts: self.attempts.len(),
             unsettled: self.all_out().count(),
             may_have_run: self.may_have_run(),
+            withheld,
         }
     }
 }
--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -219,7 +219,8 @@
                     return error(host, wire, status, &come_back(host, advice), why).await;
                 }
                 Piece::Answer(FinalAnswer::Failed { late: true }) => {
-                    return error(host, wire, 504, &come_back(host, 0), LATE).await;
+                    // No word on when to come back: it may have run.
+                    return error(host, wire, 504, "", LATE).await;
                 }
                 Piece::Answer(FinalAnswer::Failed { late: false }) => {
                     return error(host, wire, 500, "", "no attempt succeeded").await;
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -108,6 +108,24 @@
 /// Takes connections until the router closes.
 pub async fn serve(host: Rc<Host>, listener: TcpListener, front: Front) {
     let front = Rc::new(front);
+    tokio::select! {
+        biased;
+        // First, as a crowd that connects again and again would else keep the listener open to the end.
+        () = parted(&host, Stage::Closing) => {}
+        () = accept(&host, &listener, &front) => {}
+    }
+    // Whoever the machine has accepted already is not to be reset when the listener goes, as far as there is room.
+    let most = host.limits.clients + host.limits.clients_refused;
+    while host.clients.open() < most {
+        match accepted_already(&listener).await {
+            Some(stream) => begin(&host, stream, &front),
+            None => return,
+        }
+    }
+}
+
+/// Takes connections. Ends never.
+async fn accept(host: &Rc<Host>, listener: &TcpListener, front: &Rc<Front>) {
     let most = host.limits.clients + host.limits.clients_refused;
     loop {
         // Beyond this, connections wait where the machine holds them, and cost no descriptor.
@@ -117,26 +135,32 @@
             }
             host.clients.one_closed().await;
         }
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            // Whoever the machine has accepted already is not to be reset when the listener goes.
-            () = parted(&host, Stage::Closing) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let (client, idle) = host.clients.enter();
-                tokio::task::spawn_local(connection(host.clone(), client, idle, stream, front.clone()));
-            }
+        match listener.accept().await {
+            Ok((stream, _)) => begin(host, stream, front),
             // Out of descriptors, or the client was gone already: neither ends the service, nor holds up its end.
-            Err(_) => tokio::select! {
-                () = parted(&host, Stage::Closing) => return,
-                () = tokio::time::sleep(host.limits.accept_again) => {}
-            },
+            Err(e) => {
+                tracing::debug!(target: "front", why = %e, "a connection could not be taken");
+                tokio::time::sleep(host.limits.accept_again).await;
+            }
         }
     }
 }
 
+/// A connection that the machine has accepted and that waits here, if there is one.
+async fn accepted_already(listener: &TcpListener) -> Option<TcpStream> {
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => accepted.ok().map(|(stream, _)| stream),
+        () = std::future::ready(()) => None,
+    }
+}
+
+/// Begins to serve a connection.
+fn begin(host: &Rc<Host>, stream: TcpStream, front: &Rc<Front>) {
+    let (client, idle) = host.clients.enter();
+    tokio::task::spawn_local(connection(host.clone(), client, idle, stream, front.clone()));
+}
+
 /// Waits until a connection that carries nothing is to close with the router, and long enough for what is under way to be
 /// seen.
 async fn parted(host: &Host, until: Stage) {
@@ -218,8 +242,9 @@
         if let Err(rejection) = &request {
             tracing::debug!(target: "front", client = ?from, why = ?rejection, "no request that could be taken");
         }
+        let refused = crowded || host.drain.stage() >= Stage::Refusing;
         let (keeps, then) = match request {
-            Ok(r) if crowded && !front.asks_health(&r) => {
+            Ok(r) if refused && !front.asks_health(&r) => {
                 (false, front.reject(host, wire, Rejection::Full).await)
             }
             Ok(request) => (request.head.keeps(), front.answer(host, wire, request).await),
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -126,6 +126,11 @@
                 write(host, wire, &b"0\r\n\r\n"[..]).await?;
                 return Ok(Then::Next);
             }
+            // Nothing of the stream has reached the client: closed without a word, it would send the request again.
+            Next::Piece(Piece::Answer(FinalAnswer::Broken)) if unsaid => {
+                write_whole(host, wire, 500, "", Bytes::from_static(b"failed\n")).await?;
+                return Ok(Then::Close);
+            }
             // Without the last chunk, so that the client knows that this is not the end.
             Next::Piece(Piece::Answer(FinalAnswer::Broken)) | Next::Left => return Ok(Then::Close),
             Next::Piece(Piece::Answer(FinalAnswer::Refused(advice, why))) => {
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::{AsyncWriteExt, Interest};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 use crate::limits::Limits;
@@ -297,6 +297,37 @@
     reads: u8,
 }
 
+/// An error of a moment, for want of memory or buffers: tried again after this, so many times in a row at the most.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(1);
+const SHORTAGES: u32 = 100;
+
+/// What is to be done after an error of a read or write.
+enum AfterError {
+    /// Wait until the socket is ready.
+    Wait,
+    /// Try again.
+    Again,
+    /// Try again in a moment.
+    Pause,
+    /// Give the connection up.
+    GiveUp,
+}
+
+impl AfterError {
+    fn of(e: &io::Error, shortages: u32) -> AfterError {
+        const ENOBUFS: i32 = 105;
+        match e.kind() {
+            io::ErrorKind::WouldBlock => AfterError::Wait,
+            io::ErrorKind::Interrupted => AfterError::Again,
+            io::ErrorKind::OutOfMemory if shortages < SHORTAGES => AfterError::Pause,
+            _ if e.raw_os_error() == Some(ENOBUFS) && shortages < SHORTAGES => AfterError::Pause,
+            _ => AfterError::GiveUp,
+        }
+    }
+}
+
+/// The most parts of a gathered write.
+const SLICES: usize = 8;
 /// What a read asks for at least.
 const READ: usize = 8 << 10;
 /// After so many reads a task gives way to others, however much there is to read: an event of another connection would
@@ -327,23 +358,33 @@
             self.reads = 0;
             tokio::task::yield_now().await;
         }
+        let mut shortages = 0;
         loop {
             // Room is made when there is something to put there: most connections are idle most of the time.
             self.stream.readable().await?;
             let empty = self.buf.is_empty();
             self.buf.reserve(READ);
-            match self.stream.try_read_buf(&mut self.buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.reads = 0,
-                read => {
-                    let read = read?;
-                    self.reads += 1;
-                    self.last_read = Instant::now();
-                    if empty {
-                        self.first_read = self.last_read;
+            let read = match self.stream.try_read_buf(&mut self.buf) {
+                Ok(read) => read,
+                Err(e) => {
+                    match AfterError::of(&e, shortages) {
+                        AfterError::Wait => self.reads = 0,
+                        AfterError::Again => {}
+                        AfterError::Pause => {
+                            shortages += 1;
+                            tokio::time::sleep(SHORTAGE_PAUSE).await;
+                        }
+                        AfterError::GiveUp => return Err(e),
                     }
-                    return Ok(read > 0);
+                    continue;
                 }
+            };
+            self.reads += 1;
+            self.last_read = Instant::now();
+            if empty {
+                self.first_read = self.last_read;
             }
+            return Ok(read > 0);
         }
     }
 
@@ -372,11 +413,28 @@
         }
     }
 
-    /// Writes a head and what follows it in gathered writes.
+    /// Writes a head and what follows it in gathered writes. Tried again for as long as the socket takes anything: a write
+    /// that carries a part says nothing of whether it would take more.
     pub async fn write(&mut self, mut parts: impl Buf) -> io::Result<()> {
+        let mut shortages = 0;
         while parts.has_remaining() {
-            if self.stream.write_buf(&mut parts).await? == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
+            let mut slices = [io::IoSlice::new(&[]); SLICES];
+            let filled = parts.chunks_vectored(&mut slices);
+            match self.stream.try_write_vectored(&slices[..filled]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => {
+                    parts.advance(written);
+                    shortages = 0;
+                }
+                Err(e) => match AfterError::of(&e, shortages) {
+                    AfterError::Wait => self.stream.writable().await?,
+                    AfterError::Again => {}
+                    AfterError::Pause => {
+                        shortages += 1;
+                        tokio::time::sleep(SHORTAGE_PAUSE).await;
+                    }
+                    AfterError::GiveUp => return Err(e),
+                },
             }
         }
         Ok(())
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,6 +1,7 @@
 //! The router around the decision module: real sockets on the outside, [`core`] in the middle, two
 //! fronts before it. `docs/ARCHITECTURE.md` follows a request through these modules.
 
+pub mod bind;
 pub mod by_hand;
 pub mod checks;
 pub mod clients;
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -89,9 +89,9 @@
     pub grace_alone: Duration,
     /// Another router not heard for so long is none to go to.
     pub peer_heard: Duration,
-    /// What was taken later than this after the order has to have its end before the kill,
+    /// What was taken later than this after the order to stop has to have its end before the kill.
     pub owed_after: Duration,
-    /// which is not far off this long after the order.
+    /// What has not begun so long after that order is answered, and nothing more is sent to model nodes: the kill is near.
     pub last_word: Duration,
     /// Then connections that carry nothing are read for so long once more: a request may have crossed.
     pub last_look: Duration,
@@ -159,7 +159,9 @@
             grace: Duration::from_millis(500),
             grace_alone: kill / 2,
             peer_heard: Duration::from_secs(2),
-            owed_after: Duration::from_millis(600),
+            // 0.7 s by the protocol, less 0.15 s that the router may be held up before it sees the order, and 0.05 s.
+            owed_after: Duration::from_millis(500),
+            // Held up before it sees the order and again before it writes, 0.15 s each, it still is in time.
             last_word: kill - Duration::from_millis(400),
             last_look: Duration::from_millis(20),
             linger: Duration::from_millis(500),
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -22,7 +22,7 @@
 use tallypin_router::peers::Peers;
 use tallypin_router::reload::{self, Adopting, Running};
 use tallypin_router::shutdown::{self, Termination};
-use tallypin_router::{probe, status};
+use tallypin_router::{bind, probe, status};
 use tokio::net::TcpListener;
 
 /// A command line, configuration or settings that can't be used.
@@ -244,10 +244,10 @@
         adopting = Some(Adopting::new(installation, board.clone(), Some(log.clone())));
     }
     if let Some(front) = messages {
-        let listener = TcpListener::bind(front.listen).await?;
+        let listener = bind::patiently(async || TcpListener::bind(front.listen).await).await?;
         tokio::task::spawn_local(front::serve(host.clone(), listener, Front::Messages(Box::new(front))));
     }
-    let listener = TcpListener::bind(listen).await?;
+    let listener = bind::patiently(async || TcpListener::bind(listen).await).await?;
     tokio::task::spawn_local(front::serve(host.clone(), listener, Front::Platform));
     tokio::task::spawn_local(status::tell(host.clone(), Some(log)));
     let read = move || reread(settings.as_deref());
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -212,19 +212,25 @@
         let count = Count(Some(self.open.clone()));
         match timeout(self.connect_limit, TcpStream::connect(to.addr)).await {
             Ok(Ok(stream)) => Ok(count.into_link(Wire::new(stream), to)),
-            Ok(Err(e)) if e.kind() == io::ErrorKind::AddrNotAvailable || no_descriptor(&e) => {
-                Err(Outcome::Skipped)
-            }
+            Ok(Err(e)) if is_local(&e) => Err(Outcome::Skipped),
             _ => Err(Outcome::Refused),
         }
     }
 }
 
-/// Whether the machine or the process has no descriptor left.
-fn no_descriptor(e: &io::Error) -> bool {
+/// Whether a connection failed for a reason of this machine or process, which says nothing of the node: a call cut short by
+/// a signal, or want of descriptors, memory, buffers or addresses.
+fn is_local(e: &io::Error) -> bool {
     const ENFILE: i32 = 23;
     const EMFILE: i32 = 24;
-    matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
+    const ENOBUFS: i32 = 105;
+    let kinds = [
+        io::ErrorKind::Interrupted,
+        io::ErrorKind::WouldBlock,
+        io::ErrorKind::OutOfMemory,
+        io::ErrorKind::AddrNotAvailable,
+    ];
+    kinds.contains(&e.kind()) || matches!(e.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
 }
 
 /// A counted connection that is not up yet.
@@ -294,7 +300,10 @@
         };
         // Broken before its last byte was written, the request cannot have run.
         let Some((head, body)) = self.message() else { return Outcome::Skipped.into() };
-        self.host.with(|core, _| core.written(self.id, self.attempt));
+        if !self.host.with(|core, now| core.may_write(now, self.id, self.attempt)) {
+            self.host.nodes.give_back(link);
+            return Outcome::Skipped.into();
+        }
         if let Err(e) = link.wire.write(head.chain(body)).await {
             tracing::debug!(target: "node", request = self.id.0, attempt = self.attempt, why = %e,
                 "attempt not written whole");
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -10,6 +10,7 @@
 use tallypin::report::{self, Rejected};
 use tokio::net::UdpSocket;
 
+use crate::bind;
 use crate::config::PeerAddresses;
 use crate::host::Host;
 
@@ -55,7 +56,7 @@
 impl Peers {
     /// Listens for the other routers; `me` is the own number, `digest` what their reports have to agree in.
     pub async fn new(addresses: PeerAddresses, me: PeerId, digest: Digest) -> io::Result<Peers> {
-        let socket = UdpSocket::bind(addresses.listen).await?;
+        let socket = bind::patiently(async || UdpSocket::bind(addresses.listen).await).await?;
         // Until the runtime has seen that it can be written, what is sent at once would be lost.
         socket.writable().await?;
         Ok(Peers {
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at};
 
+use tallypin::api::Nanos;
 use tallypin_health::plan::{Phase, Wish};
 use tallypin_health::state::Order;
 
@@ -27,6 +28,8 @@
     Parted,
     /// No new connections; each open one closes after what it carries.
     Closing,
+    /// The kill is near: what has not begun has been answered, and what is still read is refused.
+    Refusing,
 }
 
 /// The stage, for all tasks to see.
@@ -158,6 +161,8 @@
     if timeout(host.limits.finish, all_gone(host)).await.is_err() {
         let left = host.clients.open();
         tracing::warn!(target: "drain", clients = left, "ends with clients that have not finished");
+        answer_before_end(host, 0);
+        let _ = timeout(host.limits.linger, all_gone(host)).await;
     }
 }
 
@@ -187,11 +192,18 @@
     let mut finished = std::pin::pin!(all_gone(host));
     let until = host.clock.instant(told.saturating_add(host.limits.last_word.as_nanos() as u64));
     if timeout_at(until.into(), &mut finished).await.is_err() {
-        // Whoever has come late in the grace is owed an end while there is one to give.
-        let owed = told.saturating_add(host.limits.owed_after.as_nanos() as u64);
-        let open = host.with(|core, _| core.open());
-        tracing::info!(target: "drain", clients = host.clients.open(), open, "the kill is near: answers what waits");
-        host.with(|core, now| core.cut(now, owed));
+        let owed_after = told.saturating_add(host.limits.owed_after.as_nanos() as u64);
+        answer_before_end(host, owed_after);
         let _ = timeout(host.limits.finish, finished).await;
     }
 }
+
+/// The last step before the router is killed, or ends: answers what waits, and has what is still read refused. Streams of
+/// requests taken after `owed_after` break off where clients ask another router for the rest.
+fn answer_before_end(host: &Rc<Host>, owed_after: Nanos) {
+    host.drain.enter(Stage::Refusing);
+    let open = host.with(|core, _| core.open());
+    tracing::info!(target: "drain", clients = host.clients.open(), open, "answers what waits");
+    let owed_after = host.deployment.resume.then_some(owed_after);
+    host.with(|core, now| core.answer_before_end(now, owed_after));
+}
--- /dev/null
+++ b/router/tests/ending.rs
@@ -0,0 +1,104 @@
+//! The last steps of the router's end: what waits is answered, what is still read is refused unsent, and nobody keeps the
+//! listener open.
+#![allow(missing_docs)]
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::*;
+use tallypin::api::RequestId;
+use tallypin_router::dialect::Dialect::Chat;
+use tallypin_router::shutdown::{self, Stage};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Guards against a request that is read whole after the last answers were given, and sent on: the kill would find it.
+#[test]
+fn what_is_read_after_the_last_answers_is_refused_unsent() {
+    run(async {
+        for (front, status) in [(0, 503), (1, 529)] {
+            let node = Node::new(Chat).await;
+            let router = Router::new(Chat, &[&node], |l| (l.grace, l.last_word) = (5 * MS, 60 * MS)).await;
+            let (addr, request) = fronts(&router)[front];
+            let request = request();
+            let (head, rest) = request.split_at(request.len() / 2);
+            let mut client = Client::to(addr).await;
+            client.send(head).await;
+            let host = router.host.clone();
+            let end = spawn_local(async move { shutdown::drain(&host).await });
+            router.host.drain.reached(Stage::Refusing).await;
+            client.send(rest).await;
+            assert_eq!(client.answer().await.0, status, "front {front}");
+            assert_eq!(node.so_far(), (0, 0), "front {front}: nothing was sent on");
+            drop(client);
+            end.await.unwrap();
+        }
+    });
+}
+
+/// Guards against a listener that stays open for as long as a crowd connects: requests would be taken up to the kill.
+#[test]
+fn a_crowd_that_connects_on_and_on_does_not_keep_the_listener_open() {
+    run(async {
+        let node = Node::new(Chat).await;
+        let router = Router::new(Chat, &[&node], |l| {
+            (l.clients, l.clients_refused) = (20, 4);
+            (l.grace, l.linger) = (50 * MS, 20 * MS);
+        })
+        .await;
+        let (addr, over) = (router.addr, Arc::new(AtomicBool::new(false)));
+        let (stops, connects) = (over.clone(), Arc::new(AtomicBool::new(false)));
+        let began = connects.clone();
+        let crowd = std::thread::spawn(move || {
+            let mut idle = std::collections::VecDeque::new();
+            while !stops.load(Ordering::SeqCst) {
+                idle.extend(std::net::TcpStream::connect(addr).ok());
+                if idle.len() > 60 {
+                    began.store(true, Ordering::SeqCst);
+                    idle.pop_front();
+                }
+            }
+        });
+        until(|| connects.load(Ordering::SeqCst)).await;
+        let host = router.host.clone();
+        let end = spawn_local(async move { shutdown::drain(&host).await });
+        router.host.drain.reached(Stage::Closing).await;
+        let closing = Instant::now();
+        // The crowd goes on; the system refuses who connects once the listener is gone.
+        while TcpStream::connect(addr).await.is_ok() {
+            assert!(closing.elapsed() < 2000 * MS, "the listener is open");
+            tokio::time::sleep(MS).await;
+        }
+        over.store(true, Ordering::SeqCst);
+        crowd.join().unwrap();
+        end.await.unwrap();
+    });
+}
+
+/// Guards against a connection that closes without a word under a request that has been sent on: its client would take it
+/// for unread, and send it again.
+#[test]
+fn a_stream_that_is_cut_before_anything_of_it_was_passed_on_is_an_error() {
+    run(async {
+        for (front, status) in [(0, 500), (1, 200)] {
+            let node = Node::new(Chat).await;
+            node.plan(&[Fault::Mute]);
+            let router = Router::new(Chat, &[&node], |_| {}).await;
+            let (addr, request) = fronts(&router)[front];
+            let mut client = Client::to(addr).await;
+            client.send(&request()).await;
+            node.next_request().await;
+            // The attempt has told the core of its first event, and not yet its client's front.
+            router.host.with(|core, now| assert!(core.started(now, RequestId(1), 0)));
+            router.host.with(|core, now| core.answer_before_end(now, Some(0)));
+            let (got, _, body, _) = client.answer().await;
+            assert_eq!(got, status, "front {front}");
+            assert!(front == 0 || body.contains("event: error"), "front {front}: {body}");
+        }
+    });
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 
+pub use crate::effect::{Effect, Group};
 pub use crate::report::Digest;
 
 /// A point in time or a span, in nanoseconds. Points are of the gateway's own monotonic clock.
@@ -57,33 +58,6 @@
     PrefixKey(u64)
 );
 
-/// What repeating a request would do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Effect {
-    /// Nothing: it may be repeated and refused at will.
-    Pure,
-    /// Repeats are dropped within `group`, for `window` from the send of the first attempt that may have run.
-    Token {
-        /// The replicas that know each other's requests.
-        group: Group,
-        /// How long they remember.
-        window: Nanos,
-    },
-    /// The effect would happen again: repeated or refused only if no attempt can have run.
-    SideEffect,
-}
-
-/// The replicas among which a [`Effect::Token`] request has its effect once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Group {
-    /// All of them.
-    All,
-    /// Those in one zone.
-    Zone,
-    /// Those of one cell (see [`ReplicaRow::cell`]).
-    Cell,
-}
-
 /// A class of requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Class {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -619,37 +619,16 @@
         let r = &self.replicas[i];
         let tried = open.attempts.iter().any(|a| a.row.replica == r.row.replica);
         // Rules 2 and 4.
-        let may = |r| !self.is_cold(now, r) || self.cold_credit(now, r) >= 1.0;
-        !tried && self.effect_allows(now, i, open) && may(r)
-    }
-
-    /// Rule 2: an attempt that may have run binds later ones to its group and window, or forbids them.
-    fn effect_allows(&self, now: Nanos, i: usize, open: &Open) -> bool {
-        let class = &self.set.classes[open.request.class.0 as usize];
-        open.attempts.iter().all(|a| match (a.outcome, class.effect) {
-            (None, _) if !self.set.parallel_tries => false,
-            (Some(outcome), _) if outcome.never_ran() => true,
-            (_, Effect::Pure) => true,
-            (_, Effect::SideEffect) => false,
-            (_, Effect::Token { group, window }) => {
-                let row = &self.replicas[i].row;
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => a.row.zone == row.zone,
-                    Group::Cell => a.row.cell == row.cell,
-                };
-                same && now < a.sent.saturating_add(window)
-            }
-        })
+        let repeats = open.may_repeat(now, self.effect(open), &r.row, self.set.parallel_tries);
+        !tried && repeats && (!self.is_cold(now, r) || self.cold_credit(now, r) >= 1.0)
+    }
+
+    fn effect(&self, open: &Open) -> Effect {
+        self.set.classes[open.request.class.0 as usize].effect
     }
 
     fn may_refuse(&self, open: &Open) -> bool {
-        let ran = open.attempts.iter().any(|a| a.outcome.is_none_or(|o| !o.never_ran()));
-        match self.set.classes[open.request.class.0 as usize].effect {
-            Effect::Pure => true,
-            Effect::SideEffect => !ran,
-            Effect::Token { group, .. } => !ran || group == Group::All,
-        }
+        self.effect(open).may_refuse(open.may_have_run())
     }
 
     /// Whether a replica is within its cold time.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod choice;
+pub mod effect;
 pub mod estimate;
 pub mod kept;
 pub mod membership;
--- /dev/null
+++ b/standin/shim/faults.c
@@ -0,0 +1,153 @@
+/* Faults of system calls, for trials of the program as a process: preloaded, it has calls on IPv4 sockets fail for a moment or
+ * carry a part only, as Linux documents it. Environment: FAULT_SEED; FAULT_FAILURES and FAULT_SHORT, calls in a thousand.
+ * Connections that the program opened may also break; those that it accepted never do, as their other end would not know.
+ * At exit it tells on standard error how many calls it had fail and how many it cut short. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#define DESCRIPTORS 65536
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+static uint64_t state;
+static unsigned failures, shorts;
+static atomic_uint failed, shortened;
+/* Descriptors that connect() was called on. */
+static atomic_uchar opened[DESCRIPTORS];
+
+static unsigned number(const char *name) {
+    const char *text = getenv(name);
+    return text ? (unsigned)strtoul(text, NULL, 10) : 0;
+}
+
+static void tell(void) {
+    fprintf(stderr, "faults: %u calls failed, %u cut short\n", atomic_load(&failed), atomic_load(&shortened));
+}
+
+__attribute__((constructor)) static void begin(void) {
+    state = (uint64_t)number("FAULT_SEED") * 2685821657736338717ULL + 88172645463325252ULL;
+    failures = number("FAULT_FAILURES");
+    shorts = number("FAULT_SHORT");
+    atexit(tell);
+}
+
+static uint64_t draw(void) {
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return state >> 11;
+}
+
+static int is_inet(int fd) {
+    int domain = 0;
+    socklen_t length = sizeof domain;
+    int saved = errno;
+    int got = getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length);
+    errno = saved;
+    return got == 0 && domain == AF_INET;
+}
+
+static int is_stream(int fd) {
+    int type = 0;
+    socklen_t length = sizeof type;
+    int saved = errno;
+    int got = getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &length);
+    errno = saved;
+    return got == 0 && type == SOCK_STREAM;
+}
+
+/* Sets errno to one of these and gives 1, if this call is to fail. */
+static int fails(const int *errors, size_t count) {
+    if (draw() % 1000 >= failures)
+        return 0;
+    errno = errors[draw() % count];
+    atomic_fetch_add(&failed, 1);
+    return 1;
+}
+#define FAILS(...) fails((const int[]){__VA_ARGS__}, sizeof((const int[]){__VA_ARGS__}) / sizeof(int))
+
+/* How many bytes of so many a call may carry. */
+static size_t part(size_t length) {
+    if (length < 2 || draw() % 1000 >= shorts)
+        return length;
+    atomic_fetch_add(&shortened, 1);
+    return 1 + draw() % (length < 64 ? length - 1 : 64);
+}
+
+static int opened_here(int fd) {
+    return fd >= 0 && fd < DESCRIPTORS && atomic_load(&opened[fd]);
+}
+
+static int read_fails(int fd) {
+    if (opened_here(fd) && draw() % 8 == 0)
+        return FAILS(ECONNRESET, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH);
+    return FAILS(EINTR, EINTR, ENOMEM, ENOBUFS);
+}
+
+static int write_fails(int fd) {
+    if (opened_here(fd) && draw() % 8 == 0)
+        return FAILS(ECONNRESET, EPIPE, ETIMEDOUT, EHOSTUNREACH);
+    return FAILS(EINTR, EINTR, ENOMEM, ENOBUFS);
+}
+
+ssize_t recv(int fd, void *buf, size_t length, int flags) {
+    if (is_inet(fd) && is_stream(fd)) {
+        if (read_fails(fd))
+            return -1;
+        length = part(length);
+    }
+    return REAL(recv)(fd, buf, length, flags);
+}
+
+ssize_t send(int fd, const void *buf, size_t length, int flags) {
+    if (is_inet(fd) && is_stream(fd)) {
+        if (write_fails(fd))
+            return -1;
+        length = part(length);
+    }
+    return REAL(send)(fd, buf, length, flags);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    if (count > 0 && is_inet(fd) && is_stream(fd)) {
+        if (write_fails(fd))
+            return -1;
+        size_t length = part(parts[0].iov_len);
+        if (length < parts[0].iov_len) {
+            struct iovec first = {parts[0].iov_base, length};
+            return REAL(writev)(fd, &first, 1);
+        }
+    }
+    return REAL(writev)(fd, parts, count);
+}
+
+int connect(int fd, const struct sockaddr *to, socklen_t length) {
+    if (fd >= 0 && fd < DESCRIPTORS && is_inet(fd)) {
+        atomic_store(&opened[fd], 1);
+        if (FAILS(EINTR, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, ECONNREFUSED))
+            return -1;
+    }
+    return REAL(connect)(fd, to, length);
+}
+
+int accept4(int fd, struct sockaddr *from, socklen_t *length, int flags) {
+    if (is_inet(fd) && FAILS(ECONNABORTED, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO))
+        return -1;
+    int accepted = REAL(accept4)(fd, from, length, flags);
+    if (accepted >= 0 && accepted < DESCRIPTORS)
+        atomic_store(&opened[accepted], 0);
+    return accepted;
+}
+
+int socket(int domain, int type, int protocol) {
+    if (domain == AF_INET && (type & SOCK_STREAM) && FAILS(EMFILE, ENFILE, ENOBUFS, ENOMEM))
+        return -1;
+    return REAL(socket)(domain, type, protocol);
+}
--- a/standin/src/trial/verdict.rs
+++ b/standin/src/trial/verdict.rs
@@ -146,8 +146,12 @@
         of.first.is_some_and(|first| first > since + of.class.wait + LATE)
     }
 
-    /// Whether a replica went on with the stream of a request when its client's connection ended.
+    /// Whether a replica went on with the stream of a request when its client's connection ended. Where system calls of the
+    /// router fail, its connection to the replica may have broken, which the replica cannot tell.
     fn went_on(&self, request: &Request, ended: Duration) -> bool {
+        if self.plan.shim.is_some() {
+            return false;
+        }
         let cut =
             |r: &&Received| r.end == ReplicaEnd::GivenUp && r.ended_at.is_some_and(|at| at + SLACK >= ended);
         request.received.iter().any(cut)
