Test the paths beside the incident: late failures, drains out of time, windows, shortages

Cause: the related paths mended with the incident had no tests of their own yet. Change: a repeat near the end of its window, a late failure without advice on both fronts, a drain before balancers that runs out of time, errors of this machine at a connect.

--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -596,3 +596,6 @@
     }
     AttemptEnd { outcome, kept: None, load }
 }
+
+#[cfg(test)]
+mod tests;
--- a/router/tests/checks.rs
+++ b/router/tests/checks.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use common::*;
-use tallypin::api::{ListKind, PeerId};
+use tallypin::api::{Effect, ListKind, PeerId};
 use tallypin_health::plan::{Phase, Wish};
 use tallypin_health::state::{Order, State};
 use tallypin_health::{grpc, orca};
@@ -212,6 +212,27 @@
 }
 
 /// What is common to all routers is told as degraded, never as down.
+/// Guards against a router that ends under clients that still wait: their connections would close without a word.
+#[test]
+fn what_still_waits_when_a_drain_is_out_of_time_is_answered_before_the_end() {
+    run(async {
+        for (effect, status) in [(Effect::Pure, 503), (Effect::SideEffect, 500)] {
+            let node = Node::new(Chat).await;
+            node.plan(&[Fault::Mute]);
+            let mut config = config();
+            config.limits.finish = 30 * MS;
+            config.deployment.decisions.classes.iter_mut().for_each(|c| c.effect = effect);
+            let router = start_by(config, vec![row("s-0", node.addr, "active")], &ANYWHERE, &[], None).await;
+            router.until(|s| s == State::Up).await;
+            let mut client = Client::to(router.front).await;
+            client.send(&platform("", "{}")).await;
+            node.next_request().await;
+            router.end().await.unwrap();
+            assert_eq!(client.answer().await.0, status, "{effect:?}");
+        }
+    });
+}
+
 #[test]
 fn a_fleet_that_is_cold_or_gone_makes_the_router_degraded() {
     run(async {
--- a/router/tests/ending.rs
+++ b/router/tests/ending.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use common::*;
-use tallypin::api::RequestId;
+use tallypin::api::{Effect, RequestId};
 use tallypin_router::dialect::Dialect::Chat;
 use tallypin_router::shutdown::{self, Stage};
 use tokio::net::TcpStream;
@@ -80,6 +80,25 @@
     });
 }
 
+/// Guards against advice on when to come back, given for what may have run.
+#[test]
+fn what_may_have_run_and_is_late_fails_without_advice_to_come_back() {
+    run(async {
+        for (front, wait) in [(0, "Req-Deadline-Ms: 40\r\n"), (1, "x-deadline-ms: 40\r\n")] {
+            let node = Node::new(Chat).await;
+            node.plan(&[Fault::Mute]);
+            let mut config = config();
+            config.deployment.decisions.classes.iter_mut().for_each(|c| c.effect = Effect::SideEffect);
+            let router = Router::by(config, Chat, &[&node], None).await;
+            let mut client = Client::to(fronts(&router)[front].0).await;
+            let request = if front == 0 { platform(wait, "{}") } else { messages(wait, MESSAGE) };
+            client.send(&request).await;
+            let (status, head, ..) = client.answer().await;
+            assert_eq!((status, field(&head, "retry-after")), (504, None), "front {front}: {head}");
+        }
+    });
+}
+
 /// Guards against a connection that closes without a word under a request that has been sent on: its client would take it
 /// for unread, and send it again.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -179,6 +179,20 @@
     assert!(World::sent_to(&w.end(RequestId(2), 0, Outcome::Busy)).is_some());
 }
 
+/// Guards against a repeat that is decided on within the window and arrives after it.
+#[test]
+fn a_repeat_leaves_time_for_its_write_within_the_window() {
+    for (end, repeats) in [(840 * MS, true), (860 * MS, false)] {
+        let mut set = settings(1, 0);
+        set.classes[0].effect = Effect::Token { group: Group::All, window: SECOND };
+        let mut w = World::with_replicas(set, 1, 4);
+        w.demand(Request { left: 4 * SECOND, ..request(1) });
+        w.run_to(w.now + end);
+        let out = w.end(RequestId(1), 0, Outcome::Reset);
+        assert_eq!(World::sent_to(&out).is_some(), repeats, "{} ms after the send: {out:?}", end / MS);
+    }
+}
+
 #[test]
 fn draining_and_gone_replicas_get_nothing_from_the_moment_of_being_told() {
     let mut w = World::with_replicas(settings(1, 0), 1, 3);
