Test that late streams go on, and that sockets short at the start are waited for

Cause: with guards taken out one at a time, two of the mended paths were found by no test: a stream cut where nobody asks for the rest, and a program that does not start when a socket cannot be had at once. Change: a test plays the stream on both kinds of sites; the preloaded library has the first three sockets fail.

--- a/router/tests/ending.rs
+++ b/router/tests/ending.rs
@@ -12,7 +12,8 @@
 use tallypin::api::{Effect, RequestId};
 use tallypin_router::dialect::Dialect::Chat;
 use tallypin_router::shutdown::{self, Stage};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 const MS: Duration = Duration::from_millis(1);
@@ -80,6 +81,39 @@
     });
 }
 
+/// Guards against a stream that is cut where its client does not ask for the rest: the kill may come after its end.
+#[test]
+fn a_late_stream_goes_on_past_the_last_answers_where_clients_do_not_ask_for_the_rest() {
+    run(async {
+        for resume in [false, true] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut config = config();
+            config.deployment.resume = resume;
+            let l = &mut config.limits;
+            (l.grace, l.grace_alone, l.owed_after, l.last_word) = (100 * MS, 100 * MS, 0 * MS, 150 * MS);
+            let router = Router::by(config, Chat, &[], None).await;
+            router.list([row("s-1", listener.local_addr().unwrap(), "active")]);
+            let mut client = Client::to(router.addr).await;
+            let host = router.host.clone();
+            let end = spawn_local(async move { shutdown::drain(&host).await });
+            router.host.drain.reached(Stage::Grace).await;
+            tokio::time::sleep(MS).await;
+            client.send(&platform("", "{}")).await;
+            let mut node = asked(&listener).await;
+            node.send(&(HEAD.to_string() + &chunk(CHAT[0]))).await;
+            router.host.drain.reached(Stage::Refusing).await;
+            tokio::time::sleep(5 * MS).await;
+            let rest: String = CHAT[1..].iter().map(|event| chunk(event)).collect();
+            let _ = node.stream.write_all((rest + "0\r\n\r\n").as_bytes()).await;
+            let mut read = Vec::new();
+            client.stream.read_to_end(&mut read).await.unwrap();
+            assert_eq!(read.ends_with(b"0\r\n\r\n"), !resume, "asked for again: {resume}");
+            drop(client);
+            end.await.unwrap();
+        }
+    });
+}
+
 /// Guards against advice on when to come back, given for what may have run.
 #[test]
 fn what_may_have_run_and_is_late_fails_without_advice_to_come_back() {
--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -79,10 +79,13 @@
 /// System calls that fail for a moment or carry a part only, one in so many thousand.
 const FAILURES: u32 = 20;
 const SHORT: u32 = 100;
+/// So many sockets cannot be had when the program starts.
+const FIRST: u32 = 3;
 
 /// Has system calls of the program fail.
-fn with_faults(library: &Path) -> impl Fn(&mut Plan) + Sync + '_ {
-    move |plan| plan.shim = Some(Shim { library: library.into(), failures: FAILURES, short: SHORT })
+fn with_faults(library: &Path) -> impl Fn(&mut Plan) + Sync {
+    let shim = Shim { library: library.into(), failures: FAILURES, short: SHORT, first: FIRST };
+    move |plan| plan.shim = Some(shim.clone())
 }
 
 #[test]
--- a/standin/shim/faults.c
+++ b/standin/shim/faults.c
@@ -1,5 +1,6 @@
 /* Faults of system calls, for trials of the program as a process: preloaded, it has calls on IPv4 sockets fail for a moment or
- * carry a part only, as Linux documents it. Environment: FAULT_SEED; FAULT_FAILURES and FAULT_SHORT, calls in a thousand.
+ * carry a part only, as Linux documents it. Environment: FAULT_SEED; FAULT_FAILURES and FAULT_SHORT, calls in a thousand;
+ * FAULT_FIRST, so many sockets cannot be had at first.
  * Connections that the program opened may also break; those that it accepted never do, as their other end would not know.
  * At exit it tells on standard error how many calls it had fail and how many it cut short. */
 #define _GNU_SOURCE
@@ -18,6 +19,7 @@
 
 static uint64_t state;
 static unsigned failures, shorts;
+static atomic_int first;
 static atomic_uint failed, shortened;
 /* Descriptors that connect() was called on. */
 static atomic_uchar opened[DESCRIPTORS];
@@ -35,6 +37,7 @@
     state = (uint64_t)number("FAULT_SEED") * 2685821657736338717ULL + 88172645463325252ULL;
     failures = number("FAULT_FAILURES");
     shorts = number("FAULT_SHORT");
+    atomic_store(&first, (int)number("FAULT_FIRST"));
     atexit(tell);
 }
 
@@ -147,6 +150,11 @@
 }
 
 int socket(int domain, int type, int protocol) {
+    if (domain == AF_INET && atomic_fetch_sub(&first, 1) > 0) {
+        atomic_fetch_add(&failed, 1);
+        errno = EMFILE;
+        return -1;
+    }
     if (domain == AF_INET && (type & SOCK_STREAM) && FAILS(EMFILE, ENFILE, ENOBUFS, ENOMEM))
         return -1;
     return REAL(socket)(domain, type, protocol);
--- a/standin/src/trial/plan.rs
+++ b/standin/src/trial/plan.rs
@@ -100,6 +100,8 @@
     pub failures: u32,
     /// How many reads and writes in a thousand carry a part only.
     pub short: u32,
+    /// How many sockets cannot be had at first.
+    pub first: u32,
 }
 
 /// What happens in a trial.
--- a/standin/src/trial/process.rs
+++ b/standin/src/trial/process.rs
@@ -55,6 +55,7 @@
             command.env("FAULT_SEED", trial.plan.seed.to_string());
             command.env("FAULT_FAILURES", shim.failures.to_string());
             command.env("FAULT_SHORT", shim.short.to_string());
+            command.env("FAULT_FIRST", shim.first.to_string());
         }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(&log)?).spawn()?;
         Ok(Router { child, front: trial.front, log })
