Play leaving and failing replicas, reloads and short waits in the drawn shutdowns

Change: replicas leave by the list or end all their connections for a while; a SIGHUP brings another order of classes and another place of the list; some requests have 1 to 40 ms.

--- a/standin/src/trial/client.rs
+++ b/standin/src/trial/client.rs
@@ -18,6 +18,8 @@
 const STREAM: Duration = Duration::from_secs(10);
 /// Clients think for so long at the most between two requests.
 const THINK_MS: u64 = 120;
+/// One request in so many has very little time.
+const SHORT_WAITS: u8 = 12;
 /// A connection that was refused is tried again after this.
 const AGAIN: Duration = Duration::from_millis(20);
 
@@ -115,8 +117,11 @@
             let is_again = again.is_some();
             let (id, class) = again.unwrap_or_else(|| {
                 asked += 1;
-                let class = &trial.plan.classes[rng.usize(..trial.plan.classes.len())];
-                (format!("c{number}-{asked}"), class.clone())
+                let mut class = trial.plan.classes[rng.usize(..trial.plan.classes.len())].clone();
+                if rng.u8(..SHORT_WAITS) == 0 {
+                    class.wait = Duration::from_millis(rng.u64(1..40));
+                }
+                (format!("c{number}-{asked}"), class)
             });
             let place = ask(&trial, &mut wire, &id, &class, Manner::drawn(&mut rng)).await;
             let ending = trial.tries.borrow()[place].ending;
--- a/standin/src/trial/mod.rs
+++ b/standin/src/trial/mod.rs
@@ -10,13 +10,16 @@
 mod wire;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 pub use client::{Ending, Try};
-pub use plan::{Behaviour, Class, Effect, Group, Plan, ReplicaPlan, Shim, Signal};
+pub use plan::{Behaviour, Change, ChangeKind, Class, Effect, Group, Plan, ReplicaPlan, Shim, Signal};
 pub use replica::{Received, ReplicaEnd};
+use tokio::sync::watch;
 use tokio::time::Instant;
 pub use verdict::{Break, Rule};
 
@@ -40,7 +43,7 @@
     /// Attempts that replicas received whole.
     pub received: usize,
     /// Final answers by status, in the order of their number.
-    pub statuses: std::collections::BTreeMap<u16, usize>,
+    pub statuses: BTreeMap<u16, usize>,
     /// Attempts that came to replicas in the last part of the shutdown, and that the router gave up.
     pub given_up_late: usize,
     /// Requests that were open when the router was killed.
@@ -58,7 +61,7 @@
 struct Trial {
     plan: Plan,
     began: Instant,
-    front: std::net::SocketAddr,
+    front: SocketAddr,
     /// Clients begin no further request.
     over: Cell<bool>,
     /// Seconds since the start, once the signals were sent.
@@ -66,6 +69,11 @@
     killed: Cell<Option<Duration>>,
     tries: RefCell<Vec<Try>>,
     received: RefCell<Vec<Received>>,
+    /// The replicas that are down, and word of each that goes down.
+    down: RefCell<Vec<bool>>,
+    goes_down: watch::Sender<usize>,
+    /// When the list said of a replica that it leaves.
+    left: RefCell<BTreeMap<usize, Duration>>,
 }
 
 impl Trial {
@@ -73,6 +81,13 @@
         self.began.elapsed()
     }
 
+    /// The list as it is now.
+    fn rows(&self, addresses: &[SocketAddr]) -> Vec<String> {
+        let left = self.left.borrow();
+        let row = |(number, at): (usize, &SocketAddr)| self.plan.row(number, *at, left.contains_key(&number));
+        addresses.iter().enumerate().map(row).collect()
+    }
+
     /// A random source for a part of the trial, the same in each play of the plan.
     fn random(&self, part: u64) -> fastrand::Rng {
         fastrand::Rng::with_seed(self.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ part)
@@ -97,21 +112,27 @@
         killed: Cell::new(None),
         tries: RefCell::default(),
         received: RefCell::default(),
+        down: RefCell::new(vec![false; plan.replicas.len()]),
+        goes_down: watch::Sender::new(usize::MAX),
+        left: RefCell::default(),
     });
-    let mut rows = Vec::new();
+    let mut addresses = Vec::new();
     for number in 0..plan.replicas.len() {
-        let at = replica::start(&trial, ip, number).await?;
-        rows.push(plan.row(number, at));
+        addresses.push(replica::start(&trial, ip, number).await?);
     }
-    let list = List::start(ip, &rows);
+    let rows = trial.rows(&addresses);
+    // The second is where a new configuration may move the list.
+    let lists = [List::start(ip, &rows), List::start(ip, &rows)];
+    let places = [lists[0].at, lists[1].at];
     let late = Rc::new(Cell::new(Duration::ZERO));
-    let watch = tokio::task::spawn_local(note_lateness(late.clone()));
-    let mut router = Router::start(program, dir.path(), &trial, list.at)?;
+    let lateness = tokio::task::spawn_local(note_lateness(late.clone()));
+    let mut router = Router::start(program, dir.path(), &trial, places)?;
     router.until_ready(READY).await?;
     let clients: Vec<_> = (0..plan.clients)
         .map(|n| tokio::task::spawn_local(client::run(trial.clone(), n as u64)))
         .chain((0..plan.crowd).map(|_| tokio::task::spawn_local(client::idle(trial.clone()))))
         .collect();
+    let changes = tokio::task::spawn_local(change(trial.clone(), addresses, lists));
     tokio::time::sleep(plan.quiet).await;
     late.set(Duration::ZERO);
     let exit = router.end(&trial).await?;
@@ -119,12 +140,13 @@
     // Whatever the end of its connections tells the clients arrives at once.
     tokio::time::sleep(Duration::from_millis(100)).await;
     clients.iter().for_each(|c| c.abort());
-    watch.abort();
+    lateness.abort();
+    changes.abort();
     let on_time = late.get() < ON_TIME;
     let log = router.log();
     let tries = trial.tries.borrow();
     let received = trial.received.borrow();
-    let mut statuses = std::collections::BTreeMap::new();
+    let mut statuses = BTreeMap::new();
     for status in tries.iter().filter_map(|t| t.ending.status()) {
         *statuses.entry(status).or_default() += 1;
     }
@@ -134,6 +156,7 @@
         received: &received,
         told: trial.told.get().unwrap_or_default(),
         killed: trial.killed.get(),
+        left: &trial.left.borrow(),
         exit,
         log: &std::fs::read_to_string(&log).unwrap_or_default(),
         on_time,
@@ -154,6 +177,30 @@
     })
 }
 
+/// Has the replicas leave and fail as planned, and keeps the lists until then.
+async fn change(trial: Rc<Trial>, addresses: Vec<SocketAddr>, lists: [List; 2]) {
+    let began = trial.now();
+    for Change { at, replica, what } in trial.plan.changes.clone() {
+        tokio::time::sleep((began + at).saturating_sub(trial.now())).await;
+        match what {
+            ChangeKind::Leaves => {
+                trial.left.borrow_mut().entry(replica).or_insert(trial.now());
+                lists.iter().for_each(|list| list.set(&trial.rows(&addresses)));
+            }
+            ChangeKind::Fails(time) => {
+                trial.down.borrow_mut()[replica] = true;
+                trial.goes_down.send_replace(replica);
+                let trial = trial.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(time).await;
+                    trial.down.borrow_mut()[replica] = false;
+                });
+            }
+        }
+    }
+    std::future::pending().await
+}
+
 async fn note_lateness(late: Rc<Cell<Duration>>) {
     loop {
         let due = Instant::now() + LOOK;
--- a/standin/src/trial/plan.rs
+++ b/standin/src/trial/plan.rs
@@ -82,6 +82,26 @@
     pub idle_close: Duration,
 }
 
+/// What happens to a replica at a time, counted from the first request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// When.
+    pub at: Duration,
+    /// To which replica.
+    pub replica: usize,
+    /// What.
+    pub what: ChangeKind,
+}
+
+/// What can happen to a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// The list says that it takes no more work.
+    Leaves,
+    /// It ends all its connections, and every new one, for so long.
+    Fails(Duration),
+}
+
 /// A signal, and how long after the first SIGTERM it is sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Signal {
@@ -123,6 +143,10 @@
     pub routers: u32,
     /// The replicas.
     pub replicas: Vec<ReplicaPlan>,
+    /// What happens to them.
+    pub changes: Vec<Change>,
+    /// With each SIGHUP the configuration changes: the order of its classes, and where the list is.
+    pub reloads: bool,
     /// Clients that ask.
     pub clients: usize,
     /// Clients that connect and say nothing.
@@ -188,6 +212,8 @@
             resume: true,
             routers: 1,
             replicas: (0..4).map(replica).collect(),
+            changes: Vec::new(),
+            reloads: false,
             clients: 24,
             crowd: 0,
             quiet: ms(500),
@@ -205,7 +231,7 @@
         let classes = drawn_classes(rng, long);
         let replicas = rng.usize(3..8);
         let all_hang = rng.u8(..3) == 0;
-        let replicas = (0..replicas).map(|n| drawn_replica(rng, n, all_hang)).collect();
+        let replicas: Vec<_> = (0..replicas).map(|n| drawn_replica(rng, n, all_hang)).collect();
         let signals = (0..rng.usize(..5))
             .map(|_| Signal { name: ["-TERM", "-HUP", "-INT"][rng.usize(..3)], after: ms(rng.u64(1..1500)) });
         let signals = signals.collect();
@@ -219,7 +245,9 @@
             cancel: rng.u8(..4) > 0,
             resume: rng.u8(..4) > 0,
             routers: rng.u32(1..4),
+            changes: drawn_changes(rng, &replicas),
             replicas,
+            reloads: rng.bool(),
             clients: rng.usize(8..48),
             crowd: if rng.u8(..4) == 0 { rng.usize(50..400) } else { 0 },
             quiet: ms(rng.u64(150..900)),
@@ -237,15 +265,18 @@
     }
 
     /// A replica's row of the list.
-    pub fn row(&self, number: usize, at: SocketAddr) -> String {
+    pub fn row(&self, number: usize, at: SocketAddr, leaves: bool) -> String {
         let of = &self.replicas[number];
+        let state = if leaves { "leaving" } else { "active" };
         json!({"id": format!("s-{number}"), "addr": at, "zone": zone(of.zone), "kind": "k", "cell": of.cell,
-            "state": "active", "weight": 1.0, "started_ms": 0})
+            "state": state, "weight": 1.0, "started_ms": 0})
         .to_string()
     }
 
-    /// The router's configuration.
-    pub fn configuration(&self, listen: SocketAddr, list: SocketAddr) -> Value {
+    /// The router's configuration, its classes moved on by so many places.
+    pub fn configuration(&self, listen: SocketAddr, list: SocketAddr, moved: usize) -> Value {
+        let mut classes = self.classes.clone();
+        classes.rotate_left(moved % self.classes.len());
         let class = |c: &Class| {
             let (effect, group, window) = match c.effect {
                 Effect::Pure => ("pure", "all", Duration::ZERO),
@@ -266,7 +297,7 @@
                 "Limits": {"Cancel": self.cancel, "ConnectTimeoutNs": 150_000_000u64, "IdleCloseNs": 5_000_000_000u64,
                     "MaxRetryAfterNs": 2_000_000_000u64, "MostHeld": 1000, "ParallelTries": self.parallel,
                     "Peers": false, "Probes": false, "RetryAfter": true, "TryLimit": self.try_limit},
-                "Profiles": self.classes.iter().map(class).collect::<Vec<_>>(),
+                "Profiles": classes.iter().map(class).collect::<Vec<_>>(),
                 "Report": {"Fields": [], "Via": "none"},
                 "Rules": {"AnswerSlackNs": 16_000_000u64, "ColdNs": 1_000_000_000u64, "ColdShare": 0.5,
                     "MustAskInNs": 10_000_000_000u64},
@@ -289,6 +320,20 @@
     effects.into_iter().enumerate().map(class).collect()
 }
 
+fn drawn_changes(rng: &mut fastrand::Rng, replicas: &[ReplicaPlan]) -> Vec<Change> {
+    let count = rng.usize(..5);
+    let change = |_| {
+        let what = match rng.bool() {
+            true => ChangeKind::Leaves,
+            false => ChangeKind::Fails(ms(rng.u64(5..600))),
+        };
+        Change { at: ms(rng.u64(..2500)), replica: rng.usize(1..replicas.len()), what }
+    };
+    let mut changes: Vec<Change> = (0..count).map(change).collect();
+    changes.sort_by_key(|c| c.at);
+    changes
+}
+
 fn drawn_replica(rng: &mut fastrand::Rng, number: usize, all_hang: bool) -> ReplicaPlan {
     let serve = |rng: &mut fastrand::Rng| Behaviour::Serve {
         first: ms(rng.u64(1..120)),
--- a/standin/src/trial/process.rs
+++ b/standin/src/trial/process.rs
@@ -24,6 +24,11 @@
     child: Child,
     front: SocketAddr,
     log: PathBuf,
+    config: PathBuf,
+    /// Where the list is, and where it moves.
+    lists: [SocketAddr; 2],
+    /// How often the configuration has changed.
+    reloads: usize,
 }
 
 /// How the process ended.
@@ -43,9 +48,14 @@
 }
 
 impl Router {
-    pub fn start(program: &Path, dir: &Path, trial: &Rc<Trial>, list: SocketAddr) -> io::Result<Router> {
+    pub fn start(
+        program: &Path,
+        dir: &Path,
+        trial: &Rc<Trial>,
+        lists: [SocketAddr; 2],
+    ) -> io::Result<Router> {
         let (config, settings, log) = (dir.join("config.json"), dir.join("t.conf"), dir.join("log"));
-        std::fs::write(&config, trial.plan.configuration(trial.front, list).to_string())?;
+        std::fs::write(&config, trial.plan.configuration(trial.front, lists[0], 0).to_string())?;
         std::fs::write(&settings, SETTINGS)?;
         let mut command = Command::new(program);
         command.arg("serve").arg("--settings").arg(&settings);
@@ -58,7 +68,7 @@
             command.env("FAULT_FIRST", shim.first.to_string());
         }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(&log)?).spawn()?;
-        Ok(Router { child, front: trial.front, log })
+        Ok(Router { child, front: trial.front, log, config, lists, reloads: 0 })
     }
 
     pub fn log(&self) -> PathBuf {
@@ -113,6 +123,9 @@
             if let Some(status) = self.wait_until(told + after).await? {
                 return Ok(Exit::Itself(status));
             }
+            if name == "-HUP" && plan.reloads {
+                self.change_configuration(trial)?;
+            }
             self.signal(name)?;
         }
         if let Some(status) = self.wait_until(told + kill_after).await? {
@@ -124,6 +137,14 @@
         Ok(Exit::Killed)
     }
 
+    /// Writes a configuration with another order of classes and another place of the list.
+    fn change_configuration(&mut self, trial: &Rc<Trial>) -> io::Result<()> {
+        self.reloads += 1;
+        let list = self.lists[self.reloads % self.lists.len()];
+        let text = trial.plan.configuration(trial.front, list, self.reloads).to_string();
+        std::fs::write(&self.config, text)
+    }
+
     /// Waits until then, or until the process has ended.
     async fn wait_until(&mut self, at: Instant) -> io::Result<Option<ExitStatus>> {
         while Instant::now() < at {
--- a/standin/src/trial/replica.rs
+++ b/standin/src/trial/replica.rs
@@ -1,5 +1,6 @@
 //! A replica of a trial: does with each request what its plan draws, and notes what it received and when.
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,7 +77,8 @@
     let plan = trial.plan.replicas[number].clone();
     loop {
         // An idle connection ends after the replica's time, or by the router.
-        let Ok(Ok(head)) = timeout(plan.idle_close, wire.head()).await else { return };
+        let idle = timeout(plan.idle_close, wire.head());
+        let Some(Ok(Ok(head))) = unless_down(&trial, number, idle).await else { return };
         let place = trial.received.borrow().len();
         trial.received.borrow_mut().push(Received {
             id: head.field("req-id").unwrap_or_default().into(),
@@ -98,7 +100,10 @@
         let behaviour = if hangs { Behaviour::Hang } else { drawn };
         let begun = || trial.received.borrow_mut()[place].begun_at = Some(trial.now());
         let end = match whole {
-            true => act(&mut wire, behaviour, &mut rng, begun).await,
+            true => {
+                let acts = act(&mut wire, behaviour, &mut rng, begun);
+                unless_down(&trial, number, acts).await.unwrap_or(ReplicaEnd::Broken)
+            }
             false => ReplicaEnd::GivenUp,
         };
         {
@@ -116,6 +121,18 @@
     }
 }
 
+/// Waits for something; `None` if the replica is down, or goes down first.
+async fn unless_down<T>(trial: &Trial, number: usize, what: impl Future<Output = T>) -> Option<T> {
+    let mut word = trial.goes_down.subscribe();
+    if trial.down.borrow()[number] {
+        return None;
+    }
+    tokio::select! {
+        done = what => Some(done),
+        _ = word.wait_for(|down| *down == number) => None,
+    }
+}
+
 const DECLINED: &[u8] = b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 const FAILED: &[u8] = b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
 const BEGUN: &str =
--- a/standin/src/trial/verdict.rs
+++ b/standin/src/trial/verdict.rs
@@ -9,6 +9,8 @@
 use super::process::Exit;
 use super::replica::{Received, ReplicaEnd};
 
+/// An attempt may go to a replica so long after the list said that it leaves, and word of it takes a moment.
+const DRAIN_GRACE: Duration = Duration::from_millis(600);
 /// Every time limit is so much longer than the settings say.
 const SLACK: Duration = Duration::from_millis(50);
 /// An answer may come so long after its time; later it is lost.
@@ -39,6 +41,8 @@
     SentAfterLeaving,
     /// A replica was told a longer wait than is left.
     WaitTold,
+    /// An attempt went to a replica long after the list had said that it leaves.
+    SentToLeaving,
     /// The process ended otherwise than it was told to.
     Crash,
 }
@@ -65,6 +69,7 @@
     pub received: &'a [Received],
     pub told: Duration,
     pub killed: Option<Duration>,
+    pub left: &'a BTreeMap<usize, Duration>,
     pub exit: Exit,
     pub log: &'a str,
     pub on_time: bool,
@@ -141,9 +146,10 @@
         killed && of.sent.is_none_or(|sent| sent < self.told + OWED_AFTER)
     }
 
+    /// Whether its answer came too late: after its time, and after its client had written the whole of it.
     fn late(&self, of: &Try) -> bool {
-        let since = of.begun;
-        of.first.is_some_and(|first| first > since + of.class.wait + LATE)
+        let due = (of.begun + of.class.wait).max(of.sent.unwrap_or_default());
+        of.first.is_some_and(|first| first > due + LATE)
     }
 
     /// Whether a replica went on with the stream of a request when its client's connection ended. Where system calls of the
@@ -173,6 +179,8 @@
             let after = left.is_some_and(|left| later.at > left + AFTER_LEAVING);
             rules.extend((after && self.on_time).then_some(Rule::SentAfterLeaving));
             rules.extend((self.on_time && self.told_too_much(request, later)).then_some(Rule::WaitTold));
+            let leaves = self.left.get(&later.replica).is_some_and(|at| later.at > *at + DRAIN_GRACE + SLACK);
+            rules.extend((leaves && self.on_time).then_some(Rule::SentToLeaving));
         }
         rules
     }
