Split the fronts' shared code into accepting and connections

Cause: front/mod.rs held accepting, the life of a connection, the reading of requests and the writing of answers. Change: accept.rs and connection.rs; read_request is a head, a chunked body or one of a stated length.

--- /dev/null
+++ b/router/src/front/connection.rs
@@ -0,0 +1,262 @@
+//! One client connection: waits for requests, reads them, has them answered, and closes in order.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tallypin::api::Nanos;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, timeout_at};
+
+use super::{Front, Incoming, Rejection};
+use crate::clients::{Client, IdleGuard};
+use crate::host::{HeldBody, Host};
+use crate::http::{Bad, Body, Framing, Head, Part, Start, Wire};
+use crate::keep_alive::{KeepAlive, Rest, Then};
+use crate::outward::Origin;
+use crate::shutdown::Stage;
+
+/// Why a client connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseCause {
+    /// It did not say, as it had to, where its client is.
+    NoOrigin,
+    /// Its client ended it, between two requests.
+    Ended,
+    /// It rested for too long.
+    Idle,
+    /// Its room was wanted for others.
+    RoomWanted,
+    /// The router ends.
+    Shutdown,
+    /// Reading from it failed, or it ended within a request.
+    ReadFailed(io::ErrorKind),
+    /// Writing an answer failed.
+    WriteFailed(io::ErrorKind),
+    /// Its last answer said, or its client or the router wanted, that it is the last.
+    Answered(Then),
+}
+
+/// Serves a client connection to its end.
+pub(super) async fn run(
+    host: Rc<Host>,
+    client: Client,
+    idle: IdleGuard,
+    stream: TcpStream,
+    front: Rc<Front>,
+) {
+    // Held until the connection has closed: one whose room is wanted counts as leaving until then, and nobody else is
+    // closed for the room that it gives.
+    let mut idle = Some(idle);
+    let mut wire = Wire::new(stream);
+    let cause = serve_requests(&host, &client, &mut idle, &mut wire, &front).await;
+    tracing::debug!(target: "front", ?cause, stage = ?host.drain.stage(), "connection closes");
+    match cause {
+        CloseCause::NoOrigin | CloseCause::ReadFailed(_) | CloseCause::WriteFailed(_) => {}
+        CloseCause::RoomWanted => linger(wire, host.limits.last_look).await,
+        CloseCause::Ended | CloseCause::Idle | CloseCause::Shutdown | CloseCause::Answered(_) => {
+            linger(wire, host.limits.linger).await
+        }
+    }
+}
+
+/// Serves one request after the other, until the connection is to be closed.
+async fn serve_requests(
+    host: &Rc<Host>,
+    client: &Client,
+    idle: &mut Option<IdleGuard>,
+    wire: &mut Wire,
+    front: &Front,
+) -> CloseCause {
+    let crowded = client.crowded;
+    let origin = tokio::select! {
+        biased;
+        origin = host.outward.origin(front.door(), wire) => origin,
+        () = room_wanted(idle) => return CloseCause::RoomWanted,
+    };
+    let Some(Origin { client: from }) = origin else { return CloseCause::NoOrigin };
+    let mut keep_alive = KeepAlive::new(Instant::now(), crowded);
+    loop {
+        let rest = keep_alive.rest(&host.limits);
+        if let Err(cause) = wait_for_request(host, idle, wire, rest).await {
+            return cause;
+        }
+        *idle = None;
+        let since = host.clock.at(wire.first_read());
+        let begun = keep_alive.begins(Instant::now(), &host.limits);
+        if let Some(pause) = begun.pause {
+            tokio::time::sleep(pause).await;
+        }
+        let read = timeout_at(begun.whole_by.into(), read_request(host, wire, since));
+        let request = read.await.unwrap_or(Ok(Err(Rejection::Slow)));
+        wire.message_taken();
+        let request = match request {
+            Ok(request) => request.map(|r| Incoming { client: from, ..r }),
+            Err(e) => return CloseCause::ReadFailed(e.kind()),
+        };
+        if let Err(rejection) = &request {
+            tracing::debug!(target: "front", client = ?from, why = ?rejection, "no request that could be taken");
+        }
+        let refused = crowded || host.drain.stage() >= Stage::Refusing;
+        let (keeps, then) = match request {
+            Ok(r) if refused && !front.asks_health(&r) => {
+                (false, front.reject(host, wire, Rejection::Full).await)
+            }
+            Ok(request) => (request.head.keeps(), front.answer(host, wire, request).await),
+            Err(rejection) => (false, front.reject(host, wire, rejection).await),
+        };
+        let then = match then {
+            Ok(then) => then,
+            Err(e) => return CloseCause::WriteFailed(e.kind()),
+        };
+        if !keep_alive.answered(Instant::now(), then, keeps, host.drain.stage()) {
+            return CloseCause::Answered(then);
+        }
+        *idle = Some(client.idle());
+    }
+}
+
+/// Waits until the room of a connection that carries nothing is wanted for others.
+async fn room_wanted(idle: &mut Option<IdleGuard>) {
+    match idle {
+        Some(idle) => idle.room_wanted().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until a request begins; or else why the connection is to be closed instead.
+async fn wait_for_request(
+    host: &Host,
+    idle: &mut Option<IdleGuard>,
+    wire: &mut Wire,
+    rest: Rest,
+) -> Result<(), CloseCause> {
+    if !wire.buf.is_empty() {
+        // One request in a turn, however many a client sends ahead: the others' events would else wait.
+        tokio::task::yield_now().await;
+        return Ok(());
+    }
+    wire.rest();
+    let read = tokio::select! {
+        biased;
+        read = wire.more() => read,
+        () = parted(host, rest.until) => return Err(CloseCause::Shutdown),
+        // A request may have arrived since the event loop last looked at the sockets.
+        () = room_wanted(idle) => match wire.arrived().await {
+            Some(read) => read,
+            None => return Err(CloseCause::RoomWanted),
+        },
+        () = tokio::time::sleep(rest.limit) => return Err(CloseCause::Idle),
+    };
+    match read {
+        Ok(true) => Ok(()),
+        _ => Err(CloseCause::Ended),
+    }
+}
+
+/// Waits until a connection that carries nothing is to close with the router, and long enough for what is under way to be
+/// seen.
+pub(super) async fn parted(host: &Host, until: Stage) {
+    host.drain.reached(until).await;
+    tokio::time::sleep(host.limits.last_look).await;
+}
+
+/// Reads a request; an error of the connection, or why it is no request that could be taken.
+async fn read_request(host: &Host, wire: &mut Wire, since: Nanos) -> io::Result<Result<Incoming, Rejection>> {
+    let (head, framing) = match read_head(host, wire).await? {
+        Ok(read) => read,
+        Err(bad) => return Ok(Err(bad.into())),
+    };
+    let Start::Request(method, target) = head.start.clone() else { return Ok(Err(Bad::Malformed.into())) };
+    if head.expects() && wire.buf.is_empty() {
+        wire.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
+    }
+    let body = match framing {
+        Framing::Chunked => read_chunked(host, wire).await?,
+        Framing::Length(length) => read_sized(host, wire, length as usize).await?,
+        Framing::Unstated => read_sized(host, wire, 0).await?,
+    };
+    Ok(body.map(|body| Incoming { method, target, head, body, since, client: None }))
+}
+
+/// Reads a head, and how its body ends.
+async fn read_head(host: &Host, wire: &mut Wire) -> io::Result<Result<(Head, Framing), Bad>> {
+    let head = loop {
+        match Head::request(&mut wire.buf, &host.limits) {
+            Ok(Some(head)) => break head,
+            Ok(None) => more(wire).await?,
+            Err(bad) => return Ok(Err(bad)),
+        }
+    };
+    let framing = match head.framing() {
+        Ok(framing) => framing,
+        Err(bad) => return Ok(Err(bad)),
+    };
+    if head.current && !matches!(head.one("host"), Ok(Some(_))) {
+        return Ok(Err(Bad::Malformed));
+    }
+    match framing {
+        Framing::Length(length) if length > host.limits.body as u64 => Ok(Err(Bad::LargeBody)),
+        framing => Ok(Ok((head, framing))),
+    }
+}
+
+/// Reads a body in chunks. What has come is counted as it comes: many slow bodies at once would else be more than the memory
+/// holds, and what was only announced would leave no room for those that send.
+async fn read_chunked(host: &Host, wire: &mut Wire) -> io::Result<Result<HeldBody, Rejection>> {
+    let most = host.limits.body;
+    let Some(mut reserved) = host.reserve(0) else { return Ok(Err(Rejection::Full)) };
+    let (mut body, mut all) = (Body::new(Framing::Chunked, most as u64), Vec::new());
+    loop {
+        match body.next(&mut wire.buf) {
+            Ok(Some(Part::Bytes(data))) if all.len() + data.len() > most => {
+                return Ok(Err(Bad::LargeBody.into()));
+            }
+            Ok(Some(Part::Bytes(data))) if reserved.grow(all.len() + data.len()) => {
+                all.extend_from_slice(&data);
+            }
+            Ok(Some(Part::Bytes(_))) => return Ok(Err(Rejection::Full)),
+            Ok(Some(Part::End)) => return Ok(Ok(HeldBody { bytes: Bytes::from(all), reserved })),
+            Ok(None) => more(wire).await?,
+            Err(bad) => return Ok(Err(bad.into())),
+        }
+    }
+}
+
+/// Reads a body of a stated length, counted as it comes.
+async fn read_sized(host: &Host, wire: &mut Wire, length: usize) -> io::Result<Result<HeldBody, Rejection>> {
+    let Some(mut reserved) = host.reserve(0) else { return Ok(Err(Rejection::Full)) };
+    while reserved.grow(wire.buf.len().min(length)) && wire.buf.len() < length {
+        more(wire).await?;
+    }
+    if wire.buf.len() < length || !reserved.grow(length) {
+        return Ok(Err(Rejection::Full));
+    }
+    Ok(Ok(HeldBody { bytes: wire.buf.split_to(length).freeze(), reserved }))
+}
+
+/// Reads more; that the client ends within a request is an error.
+async fn more(wire: &mut Wire) -> io::Result<()> {
+    match wire.more().await? {
+        true => Ok(()),
+        false => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+/// Closes a connection so that what was written last still arrives, a part of a stream that broke included: what the
+/// client goes on sending is read for a while and dropped, as an outright close would reset the connection under the
+/// answer.
+pub async fn linger(mut wire: Wire, limit: Duration) {
+    use tokio::io::AsyncWriteExt;
+    let _ = wire.stream.shutdown().await;
+    let rest = async {
+        for _ in 0..64 {
+            wire.buf.clear();
+            if !matches!(wire.more().await, Ok(true)) {
+                break;
+            }
+        }
+    };
+    let _ = timeout(limit, rest).await;
+}
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -1,27 +1,28 @@
 //! The fronts: what clients speak, turned into core requests, and outcomes turned back. Here stands what
-//! they share: accepting, reading a request, refusing what is not one.
+//! they share: waiting for an answer's next piece, and writing it. Accepting is in `accept`, reading in `connection`.
 
+mod accept;
+mod connection;
 pub mod messages;
 pub mod platform;
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
+pub use accept::serve;
 use bytes::{Buf, Bytes};
+pub use connection::linger;
 pub use messages::MessagesFront;
 use tallypin::api::Nanos;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout;
 
-use crate::clients::{Client, IdleGuard};
 use crate::core::FinalAnswer;
 use crate::health;
 use crate::host::{HeldBody, Host, Piece, Ticket};
-use crate::http::{reason, Bad, Body, Framing, Head, Part, Start, Wire};
-use crate::keep_alive::{KeepAlive, Rest, Then};
-use crate::outward::{Door, Origin};
+use crate::http::{reason, Bad, Head, Wire};
+use crate::keep_alive::Then;
+use crate::outward::Door;
 use crate::shutdown::Stage;
 
 /// A front.
@@ -105,281 +106,6 @@
     }
 }
 
-/// Takes connections until the router closes.
-pub async fn serve(host: Rc<Host>, listener: TcpListener, front: Front) {
-    let front = Rc::new(front);
-    tokio::select! {
-        biased;
-        // First, as a crowd that connects again and again would else keep the listener open to the end.
-        () = parted(&host, Stage::Closing) => {}
-        () = accept(&host, &listener, &front) => {}
-    }
-    // Whoever the machine has accepted already is not to be reset when the listener goes, as far as there is room.
-    let most = host.limits.clients + host.limits.clients_refused;
-    while host.clients.open() < most {
-        match accepted_already(&listener).await {
-            Some(stream) => begin(&host, stream, &front),
-            None => return,
-        }
-    }
-}
-
-/// Takes connections. Ends never.
-async fn accept(host: &Rc<Host>, listener: &TcpListener, front: &Rc<Front>) {
-    let most = host.limits.clients + host.limits.clients_refused;
-    loop {
-        // Beyond this, connections wait where the machine holds them, and cost no descriptor.
-        while host.clients.open() >= most {
-            if !host.clients.room_is_coming() {
-                host.clients.make_room();
-            }
-            host.clients.one_closed().await;
-        }
-        match listener.accept().await {
-            Ok((stream, _)) => begin(host, stream, front),
-            // Out of descriptors, or the client was gone already: neither ends the service, nor holds up its end.
-            Err(e) => {
-                tracing::debug!(target: "front", why = %e, "a connection could not be taken");
-                tokio::time::sleep(host.limits.accept_again).await;
-            }
-        }
-    }
-}
-
-/// A connection that the machine has accepted and that waits here, if there is one.
-async fn accepted_already(listener: &TcpListener) -> Option<TcpStream> {
-    tokio::select! {
-        biased;
-        accepted = listener.accept() => accepted.ok().map(|(stream, _)| stream),
-        () = std::future::ready(()) => None,
-    }
-}
-
-/// Begins to serve a connection.
-fn begin(host: &Rc<Host>, stream: TcpStream, front: &Rc<Front>) {
-    let (client, idle) = host.clients.enter();
-    tokio::task::spawn_local(connection(host.clone(), client, idle, stream, front.clone()));
-}
-
-/// Waits until a connection that carries nothing is to close with the router, and long enough for what is under way to be
-/// seen.
-async fn parted(host: &Host, until: Stage) {
-    host.drain.reached(until).await;
-    tokio::time::sleep(host.limits.last_look).await;
-}
-
-/// Why a client connection is closed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CloseCause {
-    /// It did not say, as it had to, where its client is.
-    NoOrigin,
-    /// Its client ended it, between two requests.
-    Ended,
-    /// It rested for too long.
-    Idle,
-    /// Its room was wanted for others.
-    RoomWanted,
-    /// The router ends.
-    Shutdown,
-    /// Reading from it failed, or it ended within a request.
-    ReadFailed(io::ErrorKind),
-    /// Writing an answer failed.
-    WriteFailed(io::ErrorKind),
-    /// Its last answer said, or its client or the router wanted, that it is the last.
-    Answered(Then),
-}
-
-async fn connection(host: Rc<Host>, client: Client, idle: IdleGuard, stream: TcpStream, front: Rc<Front>) {
-    // Held until the connection has closed: one whose room is wanted counts as leaving until then, and nobody else is
-    // closed for the room that it gives.
-    let mut idle = Some(idle);
-    let mut wire = Wire::new(stream);
-    let cause = serve_requests(&host, &client, &mut idle, &mut wire, &front).await;
-    tracing::debug!(target: "front", ?cause, stage = ?host.drain.stage(), "connection closes");
-    match cause {
-        CloseCause::NoOrigin | CloseCause::ReadFailed(_) | CloseCause::WriteFailed(_) => {}
-        CloseCause::RoomWanted => linger(wire, host.limits.last_look).await,
-        CloseCause::Ended | CloseCause::Idle | CloseCause::Shutdown | CloseCause::Answered(_) => {
-            linger(wire, host.limits.linger).await
-        }
-    }
-}
-
-/// Serves one request after the other, until the connection is to be closed.
-async fn serve_requests(
-    host: &Rc<Host>,
-    client: &Client,
-    idle: &mut Option<IdleGuard>,
-    wire: &mut Wire,
-    front: &Front,
-) -> CloseCause {
-    let crowded = client.crowded;
-    let origin = tokio::select! {
-        biased;
-        origin = host.outward.origin(front.door(), wire) => origin,
-        () = room_wanted(idle) => return CloseCause::RoomWanted,
-    };
-    let Some(Origin { client: from }) = origin else { return CloseCause::NoOrigin };
-    let mut keep_alive = KeepAlive::new(Instant::now(), crowded);
-    loop {
-        let rest = keep_alive.rest(&host.limits);
-        if let Err(cause) = wait_for_request(host, idle, wire, rest).await {
-            return cause;
-        }
-        *idle = None;
-        let since = host.clock.at(wire.first_read());
-        let begun = keep_alive.begins(Instant::now(), &host.limits);
-        if let Some(pause) = begun.pause {
-            tokio::time::sleep(pause).await;
-        }
-        let read = timeout_at(begun.whole_by.into(), read_request(host, wire, since));
-        let request = read.await.unwrap_or(Ok(Err(Rejection::Slow)));
-        wire.message_taken();
-        let request = match request {
-            Ok(request) => request.map(|r| Incoming { client: from, ..r }),
-            Err(e) => return CloseCause::ReadFailed(e.kind()),
-        };
-        if let Err(rejection) = &request {
-            tracing::debug!(target: "front", client = ?from, why = ?rejection, "no request that could be taken");
-        }
-        let refused = crowded || host.drain.stage() >= Stage::Refusing;
-        let (keeps, then) = match request {
-            Ok(r) if refused && !front.asks_health(&r) => {
-                (false, front.reject(host, wire, Rejection::Full).await)
-            }
-            Ok(request) => (request.head.keeps(), front.answer(host, wire, request).await),
-            Err(rejection) => (false, front.reject(host, wire, rejection).await),
-        };
-        let then = match then {
-            Ok(then) => then,
-            Err(e) => return CloseCause::WriteFailed(e.kind()),
-        };
-        if !keep_alive.answered(Instant::now(), then, keeps, host.drain.stage()) {
-            return CloseCause::Answered(then);
-        }
-        *idle = Some(client.idle());
-    }
-}
-
-/// Waits until the room of a connection that carries nothing is wanted for others.
-async fn room_wanted(idle: &mut Option<IdleGuard>) {
-    match idle {
-        Some(idle) => idle.room_wanted().await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Waits until a request begins; or else why the connection is to be closed instead.
-async fn wait_for_request(
-    host: &Host,
-    idle: &mut Option<IdleGuard>,
-    wire: &mut Wire,
-    rest: Rest,
-) -> Result<(), CloseCause> {
-    if !wire.buf.is_empty() {
-        // One request in a turn, however many a client sends ahead: the others' events would else wait.
-        tokio::task::yield_now().await;
-        return Ok(());
-    }
-    wire.rest();
-    let read = tokio::select! {
-        biased;
-        read = wire.more() => read,
-        () = parted(host, rest.until) => return Err(CloseCause::Shutdown),
-        // A request may have arrived since the event loop last looked at the sockets.
-        () = room_wanted(idle) => match wire.arrived().await {
-            Some(read) => read,
-            None => return Err(CloseCause::RoomWanted),
-        },
-        () = tokio::time::sleep(rest.limit) => return Err(CloseCause::Idle),
-    };
-    match read {
-        Ok(true) => Ok(()),
-        _ => Err(CloseCause::Ended),
-    }
-}
-
-async fn read_request(host: &Host, wire: &mut Wire, since: Nanos) -> io::Result<Result<Incoming, Rejection>> {
-    let limits = &host.limits;
-    let head = loop {
-        match Head::request(&mut wire.buf, limits) {
-            Ok(Some(head)) => break head,
-            Ok(None) => {
-                if !wire.more().await? {
-                    return Err(io::ErrorKind::UnexpectedEof.into());
-                }
-            }
-            Err(bad) => return Ok(Err(bad.into())),
-        }
-    };
-    let Start::Request(method, target) = head.start.clone() else { return Ok(Err(Bad::Malformed.into())) };
-    let framing = match head.framing() {
-        Ok(framing) => framing,
-        Err(bad) => return Ok(Err(bad.into())),
-    };
-    if head.current && !matches!(head.one("host"), Ok(Some(_))) {
-        return Ok(Err(Bad::Malformed.into()));
-    }
-    let expected = match framing {
-        Framing::Length(n) if n > limits.body as u64 => return Ok(Err(Bad::LargeBody.into())),
-        Framing::Length(n) => n as usize,
-        Framing::Chunked => limits.body,
-        Framing::Unstated => 0,
-    };
-    // What has come is counted as it comes: many slow bodies at once would else be more than the memory
-    // holds, and what was only announced would leave no room for those that send.
-    let Some(mut reserved) = host.reserve(0) else { return Ok(Err(Rejection::Full)) };
-    if head.expects() && wire.buf.is_empty() {
-        wire.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
-    }
-    let bytes = if framing == Framing::Chunked {
-        let (mut body, mut all) = (Body::new(framing, limits.body as u64), Vec::new());
-        loop {
-            match body.next(&mut wire.buf) {
-                Ok(Some(Part::Bytes(data))) if all.len() + data.len() > limits.body => {
-                    return Ok(Err(Bad::LargeBody.into()))
-                }
-                Ok(Some(Part::Bytes(data))) if reserved.grow(all.len() + data.len()) => {
-                    all.extend_from_slice(&data);
-                }
-                Ok(Some(Part::Bytes(_))) => return Ok(Err(Rejection::Full)),
-                Ok(Some(Part::End)) => break Bytes::from(all),
-                Ok(None) if wire.more().await? => {}
-                Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Err(bad) => return Ok(Err(bad.into())),
-            }
-        }
-    } else {
-        while reserved.grow(wire.buf.len().min(expected)) && wire.buf.len() < expected {
-            if !wire.more().await? {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-        if wire.buf.len() < expected || !reserved.grow(expected) {
-            return Ok(Err(Rejection::Full));
-        }
-        wire.buf.split_to(expected).freeze()
-    };
-    Ok(Ok(Incoming { method, target, head, body: HeldBody { bytes, reserved }, since, client: None }))
-}
-
-/// Closes a connection so that what was written last still arrives, a part of a stream that broke included: what the
-/// client goes on sending is read for a while and dropped, as an outright close would reset the connection under the
-/// answer.
-pub async fn linger(mut wire: Wire, limit: Duration) {
-    use tokio::io::AsyncWriteExt;
-    let _ = wire.stream.shutdown().await;
-    let rest = async {
-        for _ in 0..64 {
-            wire.buf.clear();
-            if !matches!(wire.more().await, Ok(true)) {
-                break;
-            }
-        }
-    };
-    let _ = timeout(limit, rest).await;
-}
-
 /// What a waiting client's front has to deal with next.
 pub enum Next {
     /// Something of the answer.
