--- a/standin/shim/faults.c
+++ b/standin/shim/faults.c
@@ -48,22 +48,22 @@
     return state >> 11;
 }
 
-static int is_inet(int fd) {
-    int domain = 0;
-    socklen_t length = sizeof domain;
+/* Whether an option of a socket has a value. */
+static int has(int fd, int option, int wanted) {
+    int value = 0;
+    socklen_t length = sizeof value;
     int saved = errno;
-    int got = getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length);
+    int got = getsockopt(fd, SOL_SOCKET, option, &value, &length);
     errno = saved;
-    return got == 0 && domain == AF_INET;
+    return got == 0 && value == wanted;
+}
+
+static int is_inet(int fd) {
+    return has(fd, SO_DOMAIN, AF_INET);
 }
 
 static int is_stream(int fd) {
-    int type = 0;
-    socklen_t length = sizeof type;
-    int saved = errno;
-    int got = getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &length);
-    errno = saved;
-    return got == 0 && type == SOCK_STREAM;
+    return has(fd, SO_TYPE, SOCK_STREAM);
 }
 
 /* Sets errno to one of these and gives 1, if this call is to fail. */
