Say once which errors of system calls are a shortage of this machine

Cause: the bind at the start, connects to nodes, and reads and writes each had a list of their own. Change: shortage.rs has the list, which now holds want of descriptors for reads and writes too.

--- a/router/src/bind.rs
+++ b/router/src/bind.rs
@@ -5,6 +5,8 @@
 
 use tokio::time::{sleep, Instant};
 
+use crate::shortage::is_shortage;
+
 /// What fails for a moment is tried again for so long.
 const LIMIT: Duration = Duration::from_secs(3);
 /// And after this.
@@ -13,11 +15,7 @@
 /// Whether an error may be gone in a moment: descriptors, memory or buffers are short, or a signal cut the call short. An
 /// address that another has is none: whoever supervises the program has to hear of it at once.
 fn is_momentary(e: &io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    const ENOBUFS: i32 = 105;
-    let kinds = [io::ErrorKind::Interrupted, io::ErrorKind::OutOfMemory];
-    kinds.contains(&e.kind()) || matches!(e.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+    e.kind() == io::ErrorKind::Interrupted || is_shortage(e)
 }
 
 /// Binds, again and again while that fails for a moment.
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::limits::Limits;
+use crate::shortage::is_shortage;
 
 /// Why a message was not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -315,12 +316,10 @@
 
 impl AfterError {
     fn of(e: &io::Error, shortages: u32) -> AfterError {
-        const ENOBUFS: i32 = 105;
         match e.kind() {
             io::ErrorKind::WouldBlock => AfterError::Wait,
             io::ErrorKind::Interrupted => AfterError::Again,
-            io::ErrorKind::OutOfMemory if shortages < SHORTAGES => AfterError::Pause,
-            _ if e.raw_os_error() == Some(ENOBUFS) && shortages < SHORTAGES => AfterError::Pause,
+            _ if is_shortage(e) && shortages < SHORTAGES => AfterError::Pause,
             _ => AfterError::GiveUp,
         }
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod peers;
 pub mod probe;
 pub mod reload;
+pub mod shortage;
 pub mod shutdown;
 pub mod status;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -18,6 +18,7 @@
 use crate::host::{Host, Piece, Prompt};
 use crate::http::{Body, Framing, Head, Part, Start, Wire};
 use crate::limits::Limits;
+use crate::shortage::is_shortage;
 
 /// A connection to a model node, counted while it is open.
 #[derive(Debug)]
@@ -221,16 +222,8 @@
 /// Whether a connection failed for a reason of this machine or process, which says nothing of the node: a call cut short by
 /// a signal, or want of descriptors, memory, buffers or addresses.
 fn is_local(e: &io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    const ENOBUFS: i32 = 105;
-    let kinds = [
-        io::ErrorKind::Interrupted,
-        io::ErrorKind::WouldBlock,
-        io::ErrorKind::OutOfMemory,
-        io::ErrorKind::AddrNotAvailable,
-    ];
-    kinds.contains(&e.kind()) || matches!(e.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+    let kinds = [io::ErrorKind::Interrupted, io::ErrorKind::WouldBlock, io::ErrorKind::AddrNotAvailable];
+    kinds.contains(&e.kind()) || is_shortage(e)
 }
 
 /// A counted connection that is not up yet.
