Keep the ports of closed listeners with the test that closed them

The port of a listener that had closed was given to the router of the other test, which served the client that connected there. Nothing of the program.

Change: tests that connect where nobody listens any more hold the port for as long as they last (ReservedPort: bound, never listening); so do the two addresses that are to refuse connections and the two of the check listener's move.

--- a/router/tests/checks.rs
+++ b/router/tests/checks.rs
@@ -270,9 +270,9 @@
         config.peers = Some(addresses.clone());
         let digest = config.deployment.decisions.digest;
         let peers = Peers::new(addresses, PeerId(0), digest).await.unwrap();
-        let gone = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let gone = ReservedPort::new();
         // Several: one that refused is not asked again for a while.
-        let rows = (0..6).map(|i| row(&format!("s-{i}"), gone, "active")).collect();
+        let rows = (0..6).map(|i| row(&format!("s-{i}"), gone.addr(), "active")).collect();
         let figures = "failures 3\n witness-after 200ms\n witness-fresh 1s\n retry 10m\n slow-start 10s";
         let more = [("slow-start 0ms", &*figures.replace("10s", "0ms"))];
         let router = start_by(config, rows, &ANYWHERE, &more, Some(peers)).await;
@@ -424,23 +424,24 @@
 fn a_reload_moves_the_check_listener_and_names_what_takes_a_restart() {
     run(async {
         let node = Node::new(Chat).await;
-        let router = start(&[&node], &ANYWHERE, &[]).await;
-        let spare = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let (old, spare) = (ReservedPort::new(), ReservedPort::new());
+        let mut at = ANYWHERE;
+        at[2] = old.addr();
+        let router = start(&[&node], &at, &[]).await;
         let mut kept = Client::to(router.http()).await;
         assert_eq!(status(&mut kept, "/healthz").await.0, 200);
         let mut adopting = Adopting::new(&router.installation, Some(router.board.clone()), None);
-        let mut at = ANYWHERE;
-        at[2] = spare;
+        at[2] = spare.addr();
         let more = [("drain 404", "drain 418"), ("checks {", "checks {\n connections 5\n envoy on")];
         let new = installation(&config(), &quick(&at, &more));
         adopting.take(&router.host, &new);
         let mut moved = loop {
-            match TcpStream::connect(spare).await {
+            match TcpStream::connect(spare.addr()).await {
                 Ok(stream) => break Client { stream, buf: Vec::new() },
                 Err(_) => tokio::task::yield_now().await,
             }
         };
-        assert!(TcpStream::connect(router.http()).await.is_err(), "the old place is left");
+        assert!(TcpStream::connect(old.addr()).await.is_err(), "the old place is left");
         router.board.want(Wish::Drain, Order::Drain);
         assert_eq!(status(&mut kept, "/healthz").await.0, 418, "a connection of before goes on");
         assert_eq!(status(&mut moved, "/healthz").await.0, 418);
@@ -451,7 +452,7 @@
         at[2] = taken.local_addr().unwrap();
         adopting.take(&router.host, &installation(&config(), &quick(&at, &[])));
         assert_eq!(status(&mut kept, "/healthz").await.0, 404);
-        assert_eq!(status(&mut Client::to(spare).await, "/healthz").await.0, 404);
+        assert_eq!(status(&mut Client::to(spare.addr()).await, "/healthz").await.0, 404);
     });
 }
 
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use tallypin_router::node_list::{self, Page, Row};
 use tallypin_router::peers::Peers;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
@@ -371,10 +371,33 @@
     [(router.addr, || platform("", "{}")), (router.messages, || messages("", MESSAGE))]
 }
 
+/// A local port that stays this test's for as long as this lives: bound, but not listened at. Without it, the port of a
+/// listener that has closed goes to whoever asks for one next, and who connects there reaches another test.
+pub struct ReservedPort(TcpSocket);
+
+impl ReservedPort {
+    pub fn new() -> ReservedPort {
+        let socket = TcpSocket::new_v4().unwrap();
+        // Lets a listener of this test have the port all the same; the system gives it to nobody who wants any.
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        ReservedPort(socket)
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    pub async fn listen(&self) -> TcpListener {
+        TcpListener::bind(self.addr()).await.unwrap()
+    }
+}
+
 pub struct Router {
     pub host: Rc<Host>,
     pub addr: SocketAddr,
     pub messages: SocketAddr,
+    _ports: [ReservedPort; 2],
 }
 
 impl Router {
@@ -388,12 +411,12 @@
         let front = installation(&config, &settings("")).messages.expect("it has the messages API");
         let host = Host::new(config, dialect, peers).unwrap();
         host.start();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (addr, messages) = (listener.local_addr().unwrap(), second.local_addr().unwrap());
+        let ports = [ReservedPort::new(), ReservedPort::new()];
+        let (listener, second) = (ports[0].listen().await, ports[1].listen().await);
+        let (addr, messages) = (ports[0].addr(), ports[1].addr());
         spawn_local(front::serve(host.clone(), listener, Front::Platform));
         spawn_local(front::serve(host.clone(), second, Front::Messages(Box::new(front))));
-        let router = Router { host, addr, messages };
+        let router = Router { host, addr, messages, _ports: ports };
         let servers = nodes.iter().enumerate();
         let servers = servers.map(|(i, n)| row(&format!("s-{i}"), n.addr, "active")).collect();
         node_list::take(&router.host, &Page { version: 1, full: true, servers }, ListKind::Cached);
--- a/router/tests/dialects.rs
+++ b/router/tests/dialects.rs
@@ -25,7 +25,7 @@
     let plan = Script::default();
     let nodes = [Node::sharing(dialect, &plan).await, Node::sharing(dialect, &plan).await];
     let router = Router::new(dialect, &[], |l| l.silence = std::time::Duration::from_millis(60)).await;
-    let dead = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let dead = ReservedPort::new();
     let mut seen = Vec::new();
     let late = "x-deadline-ms: 80\r\n";
     for (name, faults, fields) in [
@@ -44,7 +44,7 @@
         // New names each time: what the module learnt of a node in one case shall not touch the next.
         let rows = nodes.iter().enumerate().map(|(i, n)| row(&format!("{name}-{i}"), n.addr, "active"));
         match name {
-            "refused" => router.list([row("dead", dead, "active")]),
+            "refused" => router.list([row("dead", dead.addr(), "active")]),
             _ => router.list(rows),
         }
         plan.borrow_mut().clear();
