Bound what is believed of a replica's start by the router's own clock

Cause: starts are told as wall time and were compared with a clock that is set to wall time once. After a step of the wall clock a replica whose start lay ahead was cold until then plus its cold time, for an hour say; one whose start seemed to lie before its former one was not taken to have restarted, or passed for warm at once.

Change: a start is no later than now, and no earlier than the list was last held without it, less the time that news may take (start.rs); another start, earlier or later, is a restart. What was put back by hand stays so once it is no longer told: its start would else go back, and be another one.

A router that starts after a step takes the first list by its own clock.

--- a/router/src/by_hand.rs
+++ b/router/src/by_hand.rs
@@ -36,7 +36,9 @@
     pub fn by_hand(&mut self, out: &[ReplicaId], back: &[(ReplicaId, Nanos)]) -> Vec<ReplicaRow> {
         let before: Vec<ReplicaRow> = self.rows.values().map(|row| self.laid(row.clone())).collect();
         self.out = out.iter().copied().collect();
-        self.back = back.iter().copied().collect();
+        // Kept once it is no longer told: a start that goes back would pass for another one.
+        self.back.retain(|replica, _| self.rows.contains_key(replica));
+        self.back.extend(back.iter().copied());
         let now = before.into_iter().filter_map(|was| {
             let row = self.laid(self.rows.get(&was.replica)?.clone());
             (row != was).then_some(row)
--- a/router/src/by_hand/tests.rs
+++ b/router/src/by_hand/tests.rs
@@ -21,6 +21,7 @@
         [row(1, Ready, 20)],
         "no start by the list's word"
     );
+    assert_eq!(l.by_hand(&[], &[]), [], "no longer told, and still the same start");
     assert_eq!(l.told(ListKind::Delta, vec![row(1, Ready, 30)]), [row(1, Ready, 30)], "a real one");
     assert_eq!(l.told(ListKind::Delta, vec![row(1, Gone, 30)]), [row(1, Gone, 30)]);
     assert_eq!((l.by_hand(&[ReplicaId(1)], &[]), l.rows().count()), (vec![], 1));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,6 +9,7 @@
 use crate::kept::{self, Sessions};
 use crate::membership::{Members, Membership, MOST_HOMES};
 use crate::report;
+use crate::start::ListHeld;
 use crate::state::*;
 use crate::stats::{mix, turn, unit_race, Beginnings};
 use fastrand::Rng;
@@ -128,6 +129,7 @@
     pub(crate) fleet: Fleet,
     retry_budget: f64,
     watch: Watch,
+    list_held: ListHeld,
     /// Attempts to look at again, earliest first.
     checks: BinaryHeap<Reverse<(Nanos, RequestId, u32)>>,
 }
@@ -174,6 +176,7 @@
             beginnings: Beginnings::default(),
             retry_budget: RETRY_MOST,
             watch: Watch::default(),
+            list_held: ListHeld::default(),
             fleet: Fleet::begin(OVERLOADED),
             checks: BinaryHeap::new(),
             set,
@@ -224,6 +227,7 @@
 
     fn on_list(&mut self, now: Nanos, kind: ListKind, rows: Vec<ReplicaRow>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
+            self.list_held.ended(now);
             // Either a call failed or the subscription ended, which is not said: ask again, later each time.
             if let ListMode::Asked { must_ask_in } = self.set.list {
                 self.watch.on = false;
@@ -251,7 +255,8 @@
         for row in rows {
             match self.index.get(&row.replica) {
                 Some(&i) => {
-                    let restarted = row.last_start > self.replicas[i].row.last_start;
+                    // Another start, earlier or later: a clock that was set back tells an earlier one.
+                    let restarted = row.last_start != self.replicas[i].row.last_start && row.last_start > 0;
                     self.enlist(i, row);
                     if restarted {
                         self.reset(now, i);
@@ -266,6 +271,9 @@
                 }
             }
         }
+        if kind != ListKind::Cached {
+            self.list_held.told();
+        }
         self.fleet.first_nodes(self.members.ready.all().len());
     }
 
@@ -307,7 +315,8 @@
         (r.fails, r.eject_for, r.ejected_until, r.trial) = (0, EJECT.0, 0, false);
         (r.unread, r.reported_at) = (0.0, 0);
         let start = r.row.last_start;
-        r.cold_from = (start > 0 && now < start.saturating_add(cold)).then_some(start);
+        let believed = self.list_held.believed(now, start);
+        r.cold_from = (start > 0 && now < believed.saturating_add(cold)).then_some(believed);
         (r.cold_credit, r.cold_at) = (1.0 - turn, now);
         self.note_cold(i);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod names;
 pub mod report;
 pub mod settings;
+pub mod start;
 mod state;
 mod stats;
 pub mod view;
