Price a new connection in fleets beyond 256 replicas; measure a router's growth

Cause: among 1,600 replicas nearly each request went to another one, and its connection had been closed for idleness by the next: 906 and 913 connections in 30 s at 35 requests a second, 262 and 265 with 100 replicas, where the operators allow two and a half times as many and 40 more.

Fleets of up to 256 replicas are decided as before.

--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -259,6 +259,7 @@
             fall: PUSH.1,
             fall_multiple: PUSH.0,
             cross_zone_price: 0.0,
+            idle_close: 5 * SECOND,
         };
         let routers = (0..plan.routers).map(|me| policy(settings(me), seeds.random())).collect();
         let stream = |name| draw::stream(plan.seed, name);
--- a/router/tests/cold_budget.rs
+++ b/router/tests/cold_budget.rs
@@ -35,6 +35,7 @@
         cold_share: COLD_SHARE,
         fall: (FALL_S * SECOND as f64) as Nanos,
         fall_multiple: FALL,
+        idle_close: 5 * SECOND,
         // What is over a share is another test.s matter.
         tenants: Vec::new(),
         digest: Digest::default(),
--- a/src/api.rs
+++ b/src/api.rs
@@ -155,6 +155,8 @@
     pub fall_multiple: f64,
     /// What crossing zones costs, as a share of a request's worth.
     pub cross_zone_price: f64,
+    /// A connection to a replica that carries nothing is closed after this.
+    pub idle_close: Nanos,
 }
 
 impl Settings {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::api::*;
 use crate::estimate::{self, Pace};
 use crate::kept::{self, Sessions};
-use crate::membership::{Members, Membership, MOST_HOMES};
+use crate::membership::{Members, Membership, MOST_HOMES, SCANNED};
 use crate::report;
 use crate::start::ListHeld;
 use crate::state::*;
@@ -62,6 +62,9 @@
 const CROSS_SCALE: f64 = 0.05;
 /// Crossing a zone is worth this many aims of waiting for each unit of its price.
 const CROSS_AIMS: f64 = 3.0;
+/// In a fleet beyond [`SCANNED`] a replica without a connection at rest is worth this share of the aim less: where
+/// each request went to whoever is best by a hair, nearly each would open a connection, at every gateway.
+const CONNECT_SHARE: f64 = 0.1;
 /// An attempt may wait for its first token for this share of the aim while another is affordable. What is
 /// called off goes on where it ran: sooner, and a jam feeds itself.
 const TRY_SHARE: f64 = 1.2;
@@ -313,7 +316,7 @@
         let r = &mut self.replicas[i];
         (r.wait, r.sampled_at, r.pace) = (peak, 0, Pace::default());
         (r.fails, r.eject_for, r.ejected_until, r.trial) = (0, EJECT.0, 0, false);
-        (r.unread, r.reported_at) = (0.0, 0);
+        (r.unread, r.reported_at, r.served_at) = (0.0, 0, 0);
         let start = r.row.last_start;
         let believed = self.list_held.believed(now, start);
         r.cold_from = (start > 0 && now < believed.saturating_add(cold)).then_some(believed);
@@ -574,6 +577,7 @@
             }
         }
         let spared = (1.0 - cold.len() as f64 / self.members.ready.all().len() as f64).powi(EARLY);
+        let many = self.members.ready.all().len() > SCANNED;
         let mut chosen: Option<((bool, f64), Pick)> = None;
         for &(i, unread) in &found {
             // A replica that has just started keeps little, home or not, but what it is known to hold.
@@ -609,7 +613,9 @@
             // at a cold one counts for less, where it still begins within the aim.
             let early = self.is_cold(now, c) && base + read / self.warmth(now, c) < aim;
             let reading = if early { read * spared } else { read };
-            let rank = estimate::ranked(smoothed, aim, c.open) + reading + cross + queued;
+            let connected = !many || c.is_connected(now, self.set.idle_close);
+            let connect = if connected { 0.0 } else { CONNECT_SHARE * aim };
+            let rank = estimate::ranked(smoothed, aim, c.open) + reading + cross + queued + connect;
             let pick = Pick { replica: i, unread, wait };
             // Ties are broken at random.
             let rank = rank * (1.0 + 1e-6 * self.rng.f64());
@@ -876,6 +882,7 @@
             Outcome::Done => {
                 if same {
                     (self.replicas[i].heard, self.replicas[i].asked) = (now, 0);
+                    self.replicas[i].served_at = now;
                 }
                 if let Some(kept) = e.kept_tokens {
                     let unread = f64::from(prompt.saturating_sub(kept));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -232,6 +232,7 @@
         fall: d.rules.fall_ns,
         fall_multiple: d.rules.fall_multiple,
         cross_zone_price: d.prices.cross_zone,
+        idle_close: d.limits.idle_close_ns,
     };
     let class = |p: Profile| ClassName { name: p.name, deadline: p.deadline_ns };
     Ok(Deployment {
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,8 +28,9 @@
     pub(crate) crowd: f64,
     /// How long its streams take.
     pub(crate) pace: Pace,
-    /// Own attempts out.
+    /// Own attempts out, and when one last ended with its whole answer.
     pub(crate) open: u32,
+    pub(crate) served_at: Nanos,
     /// Send times of own attempts without a first token yet, oldest first.
     pub(crate) waiting: Vec<Nanos>,
     /// When it last began or completed an answer to this gateway.
@@ -55,6 +56,12 @@
         self.row.state == ReplicaState::Ready && holder.is(&self.row, self.cold_from)
     }
 
+    /// Whether a connection to it rests that carries nothing, where those that do are closed after `idle_close`.
+    pub(crate) fn is_connected(&self, now: Nanos, idle_close: Nanos) -> bool {
+        let rested = now.saturating_sub(self.served_at);
+        self.open == 0 && self.served_at > 0 && rested < idle_close / 2
+    }
+
     /// An attempt sent then waits for its first token no longer.
     pub(crate) fn unwait(&mut self, sent: Nanos) {
         let waiting = &mut self.waiting;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod balancer;
 pub mod checkers;
+pub mod growth;
 pub mod park;
 pub mod relay;
 pub mod trial;
+mod wire;
--- a/standin/src/trial/client.rs
+++ b/standin/src/trial/client.rs
@@ -9,8 +9,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::plan::Class;
-use super::wire::Wire;
 use super::Trial;
+use crate::wire::Wire;
 
 /// A client gives an answer up so long after its own wait: far past what any rule allows.
 const PATIENCE: Duration = Duration::from_secs(2);
--- a/standin/src/trial/mod.rs
+++ b/standin/src/trial/mod.rs
@@ -7,7 +7,6 @@
 mod process;
 mod replica;
 mod verdict;
-mod wire;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/standin/src/trial/process.rs
+++ b/standin/src/trial/process.rs
@@ -11,8 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
-use super::wire::Wire;
 use super::Trial;
+use crate::wire::Wire;
 
 /// The log of every request, so that a break can be explained.
 const SETTINGS: &str = "log {\n level debug\n queue 65536\n}\n";
--- a/standin/src/trial/replica.rs
+++ b/standin/src/trial/replica.rs
@@ -10,8 +10,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::plan::Behaviour;
-use super::wire::Wire;
 use super::Trial;
+use crate::wire::Wire;
 
 /// How an attempt ended at a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -36,6 +36,7 @@
         cold: 10 * SECOND,
         fall: 2 * SECOND,
         fall_multiple: 2.5,
+        idle_close: 5 * SECOND,
         cross_zone_price: 0.01,
     }
 }
