Take a long node list in linear time, and the last of a node's doubled rows

Cause: for each node that was known, all rows of a list were looked at: two lists of 30,000 rows, which a list may have, held the router up for 7.2 s in a debug build. With two rows of one node in a page the router's two parts went by different ones: a node that was gone and came back in one page was ready for the module and unknown to the connections, and each attempt there was skipped.

Change: sets in place of searches; changes take out what is gone alone; of a node's rows the last counts everywhere, with a line in the log. A list that is too long is named with its limit.

--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -111,6 +111,15 @@
         self.idle.borrow_mut().retain(|id, _| listed.contains_key(id));
     }
 
+    /// Forgets nodes, and closes what is idle to them.
+    pub fn remove(&self, gone: &[ReplicaId]) {
+        let (mut listed, mut idle) = (self.listed.borrow_mut(), self.idle.borrow_mut());
+        for id in gone {
+            listed.remove(id);
+            idle.remove(id);
+        }
+    }
+
     /// Closes what is idle to a node: the next attempt there has to open a connection. A machine that is
     /// cut off says nothing on the connections it had, and shows only by new ones that do not come up.
     pub fn distrust(&self, id: ReplicaId) {
--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -8,8 +8,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use rustc_hash::FxHashSet;
 use serde::Deserialize;
-use tallypin::api::{ListKind, ListMode, Nanos, ReplicaRow, ReplicaState, ZoneId};
+use tallypin::api::{ListKind, ListMode, Nanos, ReplicaId, ReplicaRow, ReplicaState, ZoneId};
 use tallypin::names;
 use tallypin::settings::Deployment;
 use tokio::net::TcpStream;
@@ -83,8 +84,12 @@
 
 /// Takes news of the list.
 pub fn take(host: &Rc<Host>, page: &Page, kind: ListKind) {
-    let rows: Vec<ReplicaRow> = page.servers.iter().map(|r| r.decode(&host.deployment)).collect();
-    for (row, decoded) in page.servers.iter().zip(&rows) {
+    let rows = last_rows(page, &host.deployment);
+    if rows.len() < page.servers.len() {
+        tracing::warn!(target: "node_list", version = page.version, rows = page.servers.len(), nodes = rows.len(),
+            "node list: rows of one node twice, the last counts");
+    }
+    for (row, decoded) in &rows {
         tracing::debug!(target: "node_list", version = page.version, ?kind, node = %row.id, state = %row.state,
             started_ms = row.started_ms, machine = %row.kind, "node list: a row");
         if decoded.state != ReplicaState::Gone {
@@ -93,12 +98,24 @@
             host.nodes.name(decoded.replica, &row.id);
         }
     }
-    let gone = |id| match kind {
-        ListKind::Delta => rows.iter().any(|r| r.replica == id && r.state == ReplicaState::Gone),
-        _ => !rows.iter().any(|r| r.replica == id && r.state != ReplicaState::Gone),
-    };
-    host.with(|core, now| core.list(now, kind, rows.clone()));
-    host.nodes.retain(|id| !gone(id));
+    let (gone, there): (Vec<&ReplicaRow>, Vec<&ReplicaRow>) =
+        rows.iter().map(|(_, decoded)| decoded).partition(|r| r.state == ReplicaState::Gone);
+    let gone: Vec<ReplicaId> = gone.iter().map(|r| r.replica).collect();
+    let there: FxHashSet<ReplicaId> = there.iter().map(|r| r.replica).collect();
+    host.with(|core, now| core.list(now, kind, rows.into_iter().map(|(_, decoded)| decoded).collect()));
+    match kind {
+        ListKind::Delta => host.nodes.remove(&gone),
+        _ => host.nodes.retain(|id| there.contains(&id)),
+    }
+}
+
+/// The rows of a page in their order, of each node the last one.
+fn last_rows<'a>(page: &'a Page, of: &Deployment) -> Vec<(&'a Row, ReplicaRow)> {
+    let mut seen = FxHashSet::default();
+    let from_the_end = page.servers.iter().rev().map(|row| (row, row.decode(of)));
+    let mut rows: Vec<_> = from_the_end.filter(|(_, decoded)| seen.insert(decoded.replica)).collect();
+    rows.reverse();
+    rows
 }
 
 /// A watch that runs until it is lost, and then says why.
@@ -303,7 +320,7 @@
                     place.answered.notify_one();
                 }
                 if held.held() > limits.list_line {
-                    return "object too long".into();
+                    return format!("an object of more than {} bytes", limits.list_line);
                 }
             }
             Ok(Some(Part::End)) => return "ended".into(),
