Work out once whether a repeat is in time

The rule stood in the module and in the router's core; Effect::may_repeat has it now. A request's name is only formatted where a line of the log is written.

--- a/router/src/core/request.rs
+++ b/router/src/core/request.rs
@@ -1,7 +1,6 @@
 //! A request as a front hands it in, and what the core remembers of it while it is open.
 
 use tallypin::api::*;
-use tallypin::effect::WRITE_TIME;
 
 use super::answer::{AnswerCause, FinalAnswer, RequestSummary};
 
@@ -177,14 +176,9 @@
     /// attempt may have run, there is time for a repeat.
     pub(super) fn may_write(&self, now: Nanos, attempt: u32) -> bool {
         let waits = !self.answered && self.bound.is_none() && now < self.deadline;
-        let others =
+        let mut others =
             self.attempts.iter().enumerate().filter(|(n, a)| *n != attempt as usize && a.may_have_run());
-        let may_repeat = |earlier: &Attempt| {
-            self.effect
-                .repeat_until(earlier.begun)
-                .is_some_and(|until| now.saturating_add(WRITE_TIME) < until)
-        };
-        waits && self.out(attempt).is_some() && others.into_iter().all(|(_, a)| may_repeat(a))
+        waits && self.out(attempt).is_some() && others.all(|(_, a)| self.effect.may_repeat(now, a.begun))
     }
 
     /// Whether it has its answer and no attempt is out.
--- a/router/src/host.rs
+++ b/router/src/host.rs
@@ -388,7 +388,8 @@
 /// Logs a final answer: all of them at level `debug`, those that the router's own end forces at `info`.
 fn log_answer(id: RequestId, name: Option<&[u8]>, answer: FinalAnswer, summary: RequestSummary) {
     let RequestSummary { cause, age, attempts, unsettled, may_have_run, withheld } = summary;
-    let (name, age_ms) = (String::from_utf8_lossy(name.unwrap_or_default()), age / 1_000_000);
+    // Formatted only where a line is written.
+    let (name, age_ms) = (name.unwrap_or_default().escape_ascii(), age / 1_000_000);
     if cause == AnswerCause::Shutdown {
         tracing::info!(target: "drain", request = id.0, %name, ?answer, age_ms, attempts, unsettled, may_have_run,
             "answered because the router ends");
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -3,7 +3,7 @@
 use crate::api::{Nanos, ReplicaRow, SECOND};
 
 /// From the decision to send a further attempt to the arrival of its last byte, ns: a router may be held up between the two.
-pub const WRITE_TIME: Nanos = 3 * SECOND / 20;
+const WRITE_TIME: Nanos = 3 * SECOND / 20;
 
 /// What repeating a request would do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,13 +42,13 @@
         }
     }
 
-    /// Until when a further attempt may be sent after one that may have run, sent at `sent`; to a replica of the same group
-    /// where there are groups. `None`: never.
-    pub fn repeat_until(self, sent: Nanos) -> Option<Nanos> {
+    /// Whether a further attempt may be sent at `now` after one that may have run, sent at `sent`; to a replica of the same
+    /// group where there are groups. Time for the write is left: the window counts until the last byte has arrived.
+    pub fn may_repeat(self, now: Nanos, sent: Nanos) -> bool {
         match self {
-            Effect::Pure => Some(Nanos::MAX),
-            Effect::Token { window, .. } => Some(sent.saturating_add(window)),
-            Effect::SideEffect => None,
+            Effect::Pure => true,
+            Effect::Token { window, .. } => now.saturating_add(WRITE_TIME) < sent.saturating_add(window),
+            Effect::SideEffect => false,
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,6 @@
 
 use crate::api::*;
 use crate::choice::{FLEET_HALF_S, FLEET_WEIGHT, FOOT, RATE_WEIGHT};
-use crate::effect::WRITE_TIME;
 use crate::estimate::Pace;
 use crate::kept::Holder;
 use crate::stats::{Fit, Recent};
@@ -165,14 +164,11 @@
         self.attempts.iter().any(Attempt::may_have_run)
     }
 
-    /// Rule 2: an attempt that may have run binds later ones to its group and window, or forbids them. Time for the write
-    /// is left: the window counts until the last byte has arrived.
+    /// Rule 2: an attempt that may have run binds later ones to its group and window, or forbids them.
     pub(crate) fn may_repeat(&self, now: Nanos, effect: Effect, at: &ReplicaRow, parallel: bool) -> bool {
         let allows = |earlier: &Attempt| {
-            let until = effect.repeat_until(earlier.sent);
-            let in_time = until.is_some_and(|until| now.saturating_add(WRITE_TIME) < until);
             let alone = parallel || earlier.outcome.is_some();
-            alone && in_time && effect.same_group(&earlier.row, at)
+            alone && effect.may_repeat(now, earlier.sent) && effect.same_group(&earlier.row, at)
         };
         self.attempts.iter().all(|earlier| !earlier.may_have_run() || allows(earlier))
     }
