Play a kill and a full disk at each call on files; keep a trial's way back

Cause: a release that had put its file in place and failed at the last sync of the folder was tried again, and wrote a trial whose way back was the new file itself: a file that does not come to serve was never gone back from.

Change: what is already in place is only synced again. standin::shim compiles the preloaded libraries; files.c counts the calls on files of a process and fails, or kills it, at any of them.

--- a/router/src/fleet/files.rs
+++ b/router/src/fleet/files.rs
@@ -106,6 +106,10 @@
         self.stored(digest)?;
         let before = read(&self.at)?;
         let old = self::digest(&before);
+        if old == digest {
+            // It is there, perhaps by a swap whose last call failed: a new trial would lose the way back.
+            return sync_dir(&self.at);
+        }
         if self.stored(&old).is_err() {
             write(&self.store.join(&old), &before)?;
         }
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -3,6 +3,8 @@
 //! here are connections, time and tasks. Nothing of it is on a request's way, and it runs only where the settings say so.
 
 mod conduct;
+#[cfg(test)]
+mod file_faults;
 pub mod files;
 pub mod link;
 pub mod orders;
--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
+use tallypin_standin::shim::Library;
 use tallypin_standin::trial::{self, Plan, Report, Shim};
 
 /// Another build of the program may be played, at this path.
@@ -91,7 +92,7 @@
 #[test]
 fn drawn_shutdowns_under_failing_system_calls_keep_the_rules() {
     let dir = tempfile::tempdir().unwrap();
-    let library = Shim::compile(dir.path()).expect("a C compiler");
+    let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
     assert_eq!(soak(101..117, with_faults(&library)), 0, "trials in which a rule was broken");
 }
 
@@ -104,7 +105,7 @@
     let seeds = first.parse().expect("a number")..end.parse().expect("a number");
     let plain = soak(seeds.clone(), |_| {});
     let dir = tempfile::tempdir().unwrap();
-    let library = Shim::compile(dir.path()).expect("a C compiler");
+    let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
     let faulty = soak(seeds, with_faults(&library));
     println!("trials in which a rule was broken: {plain} without faults of system calls, {faulty} with them");
     assert_eq!((plain, faulty), (0, 0), "trials in which a rule was broken");
--- /dev/null
+++ b/standin/shim/files.c
@@ -0,0 +1,140 @@
+/* Faults of calls on files, for tests of what a program leaves in a folder: preloaded, it counts the calls that change files
+ * below FILES_IN, and from the FILES_ATth on does what FILES_DO says:
+ *   none     nothing
+ *   ENOSPC, EIO   FILES_FOR calls fail with it
+ *   kill     the process is killed before the call
+ *   half     it is killed when half of a write is done, or the whole of another call
+ * At exit it tells on standard error how many calls it has counted. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define DESCRIPTORS 4096
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+static const char *folder;
+static const char *what = "none";
+static unsigned at, fault_calls;
+static atomic_uint counted;
+static atomic_uchar watched[DESCRIPTORS];
+
+static unsigned number(const char *name, unsigned otherwise) {
+    const char *text = getenv(name);
+    return text ? (unsigned)strtoul(text, NULL, 10) : otherwise;
+}
+
+static void tell(void) {
+    fprintf(stderr, "files: %u calls\n", atomic_load(&counted));
+}
+
+__attribute__((constructor)) static void begin(void) {
+    folder = getenv("FILES_IN");
+    what = getenv("FILES_DO") ? getenv("FILES_DO") : "none";
+    at = number("FILES_AT", 0);
+    fault_calls = number("FILES_FOR", 1);
+    atexit(tell);
+}
+
+static void die(void) {
+    kill(getpid(), SIGKILL);
+    pause();
+}
+
+static int below(const char *path) {
+    return folder && strncmp(path, folder, strlen(folder)) == 0;
+}
+
+static int is_watched(int fd) {
+    return fd >= 0 && fd < DESCRIPTORS && atomic_load(&watched[fd]);
+}
+
+/* What becomes of a call. */
+enum fate { GOES_ON, FAILS, DIES_AFTER };
+
+static enum fate fate_of_call(void) {
+    unsigned n = atomic_fetch_add(&counted, 1) + 1;
+    if (at == 0 || n < at)
+        return GOES_ON;
+    if (n == at && strcmp(what, "kill") == 0)
+        die();
+    if (n == at && strcmp(what, "half") == 0)
+        return DIES_AFTER;
+    int error = strcmp(what, "ENOSPC") == 0 ? ENOSPC : strcmp(what, "EIO") == 0 ? EIO : 0;
+    if (error == 0 || n >= at + fault_calls)
+        return GOES_ON;
+    errno = error;
+    return FAILS;
+}
+
+#define FAULTY(call)                    \
+    do {                                \
+        enum fate fate = fate_of_call(); \
+        if (fate == FAILS)              \
+            return -1;                  \
+        int result = (call);            \
+        if (fate == DIES_AFTER)         \
+            die();                      \
+        return result;                  \
+    } while (0)
+
+static int opened(int fd, int watch) {
+    if (fd >= 0 && fd < DESCRIPTORS)
+        atomic_store(&watched[fd], (unsigned char)watch);
+    return fd;
+}
+
+int open64(const char *path, int flags, ...) {
+    va_list rest;
+    va_start(rest, flags);
+    mode_t mode = (flags & O_CREAT) ? va_arg(rest, mode_t) : 0;
+    va_end(rest);
+    int watch = below(path);
+    if (!watch || !(flags & O_CREAT))
+        return opened(REAL(open64)(path, flags, mode), watch);
+    FAULTY(opened(REAL(open64)(path, flags, mode), 1));
+}
+
+ssize_t write(int fd, const void *buf, size_t length) {
+    if (!is_watched(fd))
+        return REAL(write)(fd, buf, length);
+    enum fate fate = fate_of_call();
+    if (fate == FAILS)
+        return -1;
+    ssize_t done = REAL(write)(fd, buf, fate == DIES_AFTER ? length / 2 : length);
+    if (fate == DIES_AFTER)
+        die();
+    return done;
+}
+
+int fsync(int fd) {
+    if (!is_watched(fd))
+        return REAL(fsync)(fd);
+    FAULTY(REAL(fsync)(fd));
+}
+
+int rename(const char *from, const char *to) {
+    if (!below(to))
+        return REAL(rename)(from, to);
+    FAULTY(REAL(rename)(from, to));
+}
+
+int symlink(const char *target, const char *link) {
+    if (!below(link))
+        return REAL(symlink)(target, link);
+    FAULTY(REAL(symlink)(target, link));
+}
+
+int unlink(const char *path) {
+    if (!below(path))
+        return REAL(unlink)(path);
+    FAULTY(REAL(unlink)(path));
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod growth;
 pub mod park;
 pub mod relay;
+pub mod shim;
 pub mod trial;
 mod wire;
--- a/standin/src/trial/plan.rs
+++ b/standin/src/trial/plan.rs
@@ -1,9 +1,7 @@
 //! What happens in a trial: settings, replicas, clients, signals and faults of system calls.
 
-use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde_json::{json, Value};
@@ -163,20 +161,6 @@
     pub shim: Option<Shim>,
 }
 
-impl Shim {
-    /// Compiles the library into this folder. It wants a C compiler, `cc`.
-    pub fn compile(dir: &Path) -> io::Result<PathBuf> {
-        let (source, library) = (dir.join("faults.c"), dir.join("faults.so"));
-        std::fs::write(&source, include_str!("../../shim/faults.c"))?;
-        let mut compiler = Command::new("cc");
-        compiler.args(["-shared", "-fPIC", "-O2", "-o"]).arg(&library).arg(&source).arg("-ldl");
-        match compiler.status()?.success() {
-            true => Ok(library),
-            false => Err(io::Error::other("cc does not compile the library of faults")),
-        }
-    }
-}
-
 /// The longest wait that counts for the kill.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 /// SIGKILL comes no sooner than this after that wait.
