Step the wall clock, hold writes up and cut I/O to bytes in the drawn trials

The verdict allows for the hold where an attempt begins after its client has left: nothing that comes between the last look and the write can be known.

--- a/standin/src/trial/plan.rs
+++ b/standin/src/trial/plan.rs
@@ -118,8 +118,14 @@
     pub failures: u32,
     /// How many reads and writes in a thousand carry a part only.
     pub short: u32,
+    /// The most bytes that these carry.
+    pub short_most: u32,
     /// How many sockets cannot be had at first.
     pub first: u32,
+    /// How many writes to replicas in a thousand find the process held up for 0.15 s just before.
+    pub holds: u32,
+    /// The wall clock is stepped by so many seconds, so long after the start.
+    pub step: (i64, Duration),
 }
 
 /// What happens in a trial.
--- a/standin/src/trial/process.rs
+++ b/standin/src/trial/process.rs
@@ -65,7 +65,11 @@
             command.env("FAULT_SEED", trial.plan.seed.to_string());
             command.env("FAULT_FAILURES", shim.failures.to_string());
             command.env("FAULT_SHORT", shim.short.to_string());
+            command.env("FAULT_SHORT_MOST", shim.short_most.to_string());
             command.env("FAULT_FIRST", shim.first.to_string());
+            command.env("FAULT_HOLDS", shim.holds.to_string());
+            command.env("FAULT_STEP_S", shim.step.0.to_string());
+            command.env("FAULT_STEP_AT_MS", shim.step.1.as_millis().to_string());
         }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(&log)?).spawn()?;
         Ok(Router { child, front: trial.front, log, config, lists, reloads: 0 })
--- a/standin/src/trial/verdict.rs
+++ b/standin/src/trial/verdict.rs
@@ -19,6 +19,8 @@
 const LATE: Duration = Duration::from_millis(500);
 /// An attempt may begin so long after its client has left.
 const AFTER_LEAVING: Duration = Duration::from_millis(100);
+/// The process may be held up for so long between a look at its clock and a write.
+const HOLD: Duration = Duration::from_millis(150);
 /// What is told to a replica may be so much more than what is left to the client.
 const TOLD_SLACK: Duration = Duration::from_millis(150);
 /// What SIGKILL finds unanswered is lost if it came later than this after SIGTERM.
@@ -178,7 +180,7 @@
             let two = !self.plan.parallel && request.received[..n].iter().any(overlaps);
             rules.extend((two && self.on_time).then_some(Rule::TwoAtOnce));
             let left = request.tries.iter().find(|t| t.ending == Ending::Left).and_then(|t| t.ended);
-            let after = left.is_some_and(|left| later.at > left + AFTER_LEAVING);
+            let after = left.is_some_and(|left| later.at > left + AFTER_LEAVING + self.held_before_write());
             rules.extend((after && self.on_time).then_some(Rule::SentAfterLeaving));
             rules.extend((self.on_time && self.told_too_much(request, later)).then_some(Rule::WaitTold));
             rules.extend((self.on_time && self.left_before(later)).then_some(Rule::SentToLeaving));
@@ -186,6 +188,16 @@
         rules
     }
 
+    /// A process that is held up just before a write cannot know of what comes meanwhile.
+    fn held_before_write(&self) -> Duration {
+        let holds = self.plan.shim.as_ref().is_some_and(|shim| shim.holds > 0);
+        if holds {
+            HOLD
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Whether an attempt went to a replica long after the list had told that it leaves.
     fn left_before(&self, attempt: &Received) -> bool {
         let told = match self.plan.shim {
