--- a/standin/src/park.rs
+++ b/standin/src/park.rs
@@ -162,9 +162,20 @@
 struct Told {
     page: Mutex<(u64, String)>,
     news: Condvar,
+    /// Nothing is said, to whoever watches and whoever calls.
+    silent: AtomicBool,
     over: AtomicBool,
 }
 
+impl Told {
+    fn wait_while_silent(&self) {
+        let page = self.page.lock().expect("nobody panics with it");
+        let silent =
+            |_: &mut (u64, String)| self.silent.load(Ordering::SeqCst) && !self.over.load(Ordering::SeqCst);
+        drop(self.news.wait_while(page, silent).expect("nobody panics with it"));
+    }
+}
+
 /// A node list service.
 pub struct List {
     /// Where it listens.
@@ -175,8 +186,12 @@
 impl List {
     /// With these rows, JSON each.
     pub fn start(ip: &str, rows: &[String]) -> List {
-        let told =
-            Arc::new(Told { page: Mutex::default(), news: Condvar::new(), over: AtomicBool::new(false) });
+        let told = Arc::new(Told {
+            page: Mutex::default(),
+            news: Condvar::new(),
+            silent: AtomicBool::new(false),
+            over: AtomicBool::new(false),
+        });
         let (for_all, ends) = (told.clone(), told.clone());
         let serve = move |stream| drop(tell(stream, &for_all));
         let list = List { at: listen(ip, serve, move || ends.over.load(Ordering::SeqCst)), told };
@@ -192,12 +207,23 @@
             (version, format!("{{\"version\":{version},\"full\":true,\"servers\":[{}]}}\n", rows.join(",")));
         self.told.news.notify_all();
     }
+
+    /// Says nothing from now on, whatever it is set to, or speaks again.
+    pub fn silence(&self, silent: bool) {
+        // Under the lock, so that nobody misses the word between a look and a wait.
+        let _page = self.told.page.lock().expect("nobody panics with it");
+        self.told.silent.store(silent, Ordering::SeqCst);
+        self.told.news.notify_all();
+    }
 }
 
 impl Drop for List {
     fn drop(&mut self) {
-        self.told.over.store(true, Ordering::SeqCst);
-        self.told.news.notify_all();
+        {
+            let _page = self.told.page.lock().expect("nobody panics with it");
+            self.told.over.store(true, Ordering::SeqCst);
+            self.told.news.notify_all();
+        }
         let _ = TcpStream::connect(self.at);
     }
 }
@@ -207,9 +233,11 @@
     if request(&mut from).is_none() {
         return Ok(());
     }
+    told.wait_while_silent();
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     let mut last = 0;
     while !told.over.load(Ordering::SeqCst) {
+        told.wait_while_silent();
         let page = told.page.lock().expect("nobody panics with it");
         let (page, _) =
             told.news.wait_timeout_while(page, SIGN, |p| p.0 == last).expect("nobody panics with it");
--- a/standin/src/trial/plan.rs
+++ b/standin/src/trial/plan.rs
@@ -157,6 +157,10 @@
     pub crowd: usize,
     /// From the first request to SIGTERM.
     pub quiet: Duration,
+    /// In the middle of that nobody asks for so long.
+    pub lull: Duration,
+    /// The list falls silent so long after the first request, for so long.
+    pub outage: Option<(Duration, Duration)>,
     /// Signals after SIGTERM.
     pub signals: Vec<Signal>,
     /// The router is held up for so long, so many times after SIGTERM.
@@ -207,6 +211,8 @@
             clients: 24,
             crowd: 0,
             quiet: ms(500),
+            lull: Duration::ZERO,
+            outage: None,
             signals: Vec::new(),
             stops: Vec::new(),
             grace: Duration::ZERO,
@@ -241,6 +247,8 @@
             clients: rng.usize(8..48),
             crowd: if rng.u8(..4) == 0 { rng.usize(50..400) } else { 0 },
             quiet: ms(rng.u64(150..900)),
+            lull: drawn_lull(seed),
+            outage: drawn_outage(seed),
             signals,
             stops,
             grace: ms(rng.u64(..60)),
@@ -297,6 +305,22 @@
     }
 }
 
+/// One plan in eight has a lull, some of them longer than connections may rest.
+fn drawn_lull(seed: u64) -> Duration {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x1u64.rotate_left(40));
+    if rng.u8(..8) == 0 {
+        ms(rng.u64(500..4500))
+    } else {
+        Duration::ZERO
+    }
+}
+
+/// One plan in four has an outage of the list.
+fn drawn_outage(seed: u64) -> Option<(Duration, Duration)> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x1u64.rotate_left(41));
+    (rng.u8(..4) == 0).then(|| (ms(rng.u64(..1500)), ms(rng.u64(300..6000))))
+}
+
 fn zone(number: usize) -> &'static str {
     ["a", "b"][number % 2]
 }
--- a/standin/src/trial/verdict.rs
+++ b/standin/src/trial/verdict.rs
@@ -16,7 +16,7 @@
 /// Every time limit is so much longer than the settings say.
 const SLACK: Duration = Duration::from_millis(50);
 /// An answer may come so long after its time; later it is lost.
-const LATE: Duration = Duration::from_millis(500);
+pub(super) const LATE: Duration = Duration::from_millis(500);
 /// An attempt may begin so long after its client has left.
 const AFTER_LEAVING: Duration = Duration::from_millis(100);
 /// The process may be held up for so long between a look at its clock and a write.
@@ -200,9 +200,9 @@
 
     /// Whether an attempt went to a replica long after the list had told that it leaves.
     fn left_before(&self, attempt: &Received) -> bool {
-        let told = match self.plan.shim {
-            None => Duration::ZERO,
-            Some(_) => TOLD_AT_LATEST,
+        let told = match (&self.plan.shim, self.plan.outage) {
+            (None, None) => Duration::ZERO,
+            (_, outage) => TOLD_AT_LATEST + outage.map_or(Duration::ZERO, |(_, length)| length),
         };
         let left = self.left.get(&attempt.replica);
         left.is_some_and(|at| attempt.at > *at + told + DRAIN_GRACE + SLACK)
