--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -17,6 +17,9 @@
 /// The most bytes of a message; a longer one would void the run.
 pub const MOST: usize = 256;
 
+/// After an error of a moment a message is waited for again after this.
+const RECEIVE_AGAIN: Duration = Duration::from_millis(5);
+
 /// Messages that were not gone by, since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Dropped {
@@ -91,7 +94,8 @@
         let mut buf = [0u8; MOST + 1];
         loop {
             let Ok((n, from)) = self.socket.recv_from(&mut buf).await else {
-                tokio::task::yield_now().await;
+                // Want of memory, say: at once it would fail again, and again.
+                tokio::time::sleep(RECEIVE_AGAIN).await;
                 continue;
             };
             // Whoever is not among the peers, or says too much, is not heard.
