Split the connections to model nodes, and the decision module, by their jobs

node.rs is node/pool.rs (connections), attempt.rs, answer.rs and probe.rs now; choice.rs has given its reports and health to modules of their own.

--- /dev/null
+++ b/router/src/node/attempt.rs
@@ -0,0 +1,283 @@
+//! One attempt: writes the request to a model node, and passes the events of its answer on.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::{Buf, Bytes, BytesMut};
+use tallypin::api::{Nanos, Outcome, ReplicaId, RequestId};
+use tokio::sync::mpsc;
+
+use super::answer::{drained, read_head};
+use super::pool::{Link, Nodes};
+use crate::core::{AttemptEnd, FinalAnswer};
+use crate::dialect::{self, Dialect, Event, Events};
+use crate::host::{Host, Piece, Prompt};
+use crate::http::{Body, Framing, Part, Start, Wire};
+
+/// One attempt.
+pub struct Attempt {
+    /// The router.
+    pub host: Rc<Host>,
+    /// The request.
+    pub id: RequestId,
+    /// Which of its attempts.
+    pub attempt: u32,
+    /// Where to.
+    pub node: ReplicaId,
+    /// When the client gives up.
+    pub deadline: Nanos,
+    /// What to send; not kept once the request is bound.
+    pub prompt: Option<Rc<Prompt>>,
+    /// The front wants the text of events, not only their bytes.
+    pub text: bool,
+    /// Where its events go once the request is bound to it.
+    pub pieces: mpsc::Sender<Piece>,
+}
+
+impl Attempt {
+    /// Runs it to its end. Giving it up is dropping it: the connection closes.
+    pub async fn run(mut self) {
+        let end = self.stream().await;
+        tracing::debug!(target: "node", request = self.id.0, attempt = self.attempt,
+            node = %self.host.nodes.named(self.node), outcome = ?end.outcome,
+            kept = end.kept, "attempt ended");
+        let answer = match end.outcome {
+            Outcome::Done => FinalAnswer::Served,
+            _ => FinalAnswer::Broken,
+        };
+        let (id, attempt, bound) = (self.id, self.attempt, self.bound());
+        self.host.attempt_over(id, attempt);
+        self.host.with(|core, now| core.ended(now, id, attempt, end));
+        if bound {
+            let _ = self.pieces.send(Piece::Answer(answer)).await;
+        }
+    }
+
+    fn bound(&self) -> bool {
+        self.deadline == BOUND
+    }
+
+    async fn stream(&mut self) -> AttemptEnd {
+        let mut link = match self.reach().await {
+            Ok(reached) => reached,
+            Err(outcome) => return outcome.into(),
+        };
+        // Broken before its last byte was written, the request cannot have run.
+        let Some((head, body)) = self.message() else { return Outcome::Skipped.into() };
+        if !self.host.with(|core, now| core.may_write(now, self.id, self.attempt)) {
+            self.host.nodes.give_back(link);
+            return Outcome::Skipped.into();
+        }
+        if let Err(e) = link.wire.write(head.chain(body)).await {
+            tracing::debug!(target: "node", request = self.id.0, attempt = self.attempt, why = %e,
+                "attempt not written whole");
+            return Outcome::Refused.into();
+        }
+        tracing::debug!(target: "node", request = self.id.0, attempt = self.attempt, reused = link.reused,
+            "attempt written");
+        let _out = Out::on(&self.host, self.node);
+        let silent = Silent { nodes: &self.host.nodes, node: self.node };
+        let more = link.wire.more().await;
+        std::mem::forget(silent);
+        let head = match more {
+            Ok(true) => read_head(&mut link.wire, &self.host.limits).await,
+            _ => None,
+        };
+        let Some(head) = head else { return Outcome::Reset.into() };
+        let names = &self.host.deployment.report;
+        let load = head.text("srv-load").ok().flatten().map(|l| dialect::read_load(l, names));
+        let load = load.unwrap_or_default();
+        let framing = match head.framing() {
+            Ok(framing) => framing,
+            Err(_) => return Outcome::Reset.into(),
+        };
+        match head.start {
+            Start::Status(200) => {}
+            Start::Status(status) => {
+                let declined = matches!(head.text("srv-declined"), Ok(Some("1")));
+                let outcome = match status {
+                    503 | 504 if declined => Outcome::Busy,
+                    _ => Outcome::Error,
+                };
+                if head.keeps() && drained(&mut link.wire, framing, self.host.limits.event) {
+                    self.host.nodes.give_back(link);
+                }
+                return AttemptEnd { outcome, kept: None, load };
+            }
+            Start::Request(..) => return Outcome::Reset.into(),
+        }
+        let (end, reusable) = self.pass_on(&mut link.wire, framing, load).await;
+        if reusable && head.keeps() && link.wire.buf.is_empty() {
+            self.host.nodes.give_back(link);
+        }
+        end
+    }
+
+    /// A connection on which the request may be written now. Before that the event loop looks at the sockets once more:
+    /// a front that hears of its client's end calls this off first, the node list may have told that the node takes no
+    /// work, and an idle connection may have been closed by its node.
+    async fn reach(&self) -> Result<Link, Outcome> {
+        let nodes = &self.host.nodes;
+        loop {
+            let mut link = nodes.reach(self.node).await?;
+            tokio::task::yield_now().await;
+            if !nodes.takes_work(&link.to) {
+                return Err(Outcome::Skipped);
+            }
+            if !link.reused || !link.wire.spoilt() {
+                return Ok(link);
+            }
+        }
+    }
+
+    fn message(&self) -> Option<(Bytes, Bytes)> {
+        let p = self.prompt.as_ref()?;
+        let left = self.deadline.saturating_sub(self.host.clock.now()) / 1_000_000;
+        let body = p.body.bytes.clone();
+        let mut head = Vec::with_capacity(256 + p.target.len());
+        for part in [&p.method[..], b" ", &p.target, b" HTTP/1.1\r\nHost: backend.local\r\nReq-Id: ", &p.id] {
+            head.extend_from_slice(part);
+        }
+        if let Some(key) = &p.idempotency_key {
+            head.extend_from_slice(b"\r\nIdempotency-Key: ");
+            head.extend_from_slice(key);
+        }
+        let rest = format!(
+            "\r\nReq-Deadline-Ms: {left}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        head.extend_from_slice(rest.as_bytes());
+        Some((head.into(), body))
+    }
+
+    /// Passes the events of a stream on as they come; also says whether the connection is at the end of
+    /// the answer.
+    async fn pass_on(&mut self, wire: &mut Wire, framing: Framing, load: Vec<f64>) -> (AttemptEnd, bool) {
+        let host = self.host.clone();
+        let (mut body, mut events) = (Body::of_answer(framing, host.limits.event), Events::default());
+        let (mut held, mut held_told) = (BytesMut::new(), Vec::new());
+        let mut end = AttemptEnd { outcome: Outcome::Reset, kept: None, load };
+        // A messages stream says itself that it is complete; the others are so at the last chunk.
+        let mut complete = host.nodes.dialect == Dialect::Chat;
+        let silence = |quiet_since: Instant| (quiet_since + host.limits.silence).into();
+        let mut quiet_since = Instant::now();
+        loop {
+            let part = match body.next(&mut wire.buf) {
+                Ok(part) => part,
+                Err(_) => return (end, false),
+            };
+            let over = part == Some(Part::End);
+            let whole = match part {
+                Some(Part::Bytes(data)) => {
+                    let whole = events.push(&data);
+                    if events.held() > host.limits.event {
+                        return (end, false);
+                    }
+                    whole
+                }
+                Some(Part::End) => match events.rest() {
+                    rest if rest.is_empty() => None,
+                    rest => Some(rest),
+                },
+                None => {
+                    // Before the stream is bound, the core keeps the time.
+                    let more = if self.bound() {
+                        tokio::time::timeout_at(silence(quiet_since), wire.more()).await
+                    } else {
+                        Ok(wire.more().await)
+                    };
+                    match more {
+                        Ok(Ok(true)) => continue,
+                        _ => return (end, false),
+                    }
+                }
+            };
+            if let Some(mut bytes) = whole {
+                let mut told = self.tell(&bytes, &mut end);
+                complete |= told.contains(&Event::Complete);
+                let failed = told.contains(&Event::Failed);
+                if !self.bound() {
+                    held.extend_from_slice(&bytes);
+                    held_told.append(&mut told);
+                    if !failed && !held_told.iter().any(Event::begins) && held.len() <= host.limits.event {
+                        continue; // A sign of life, or what nobody knows, binds nothing.
+                    }
+                    (bytes, told) = (held.split().freeze(), std::mem::take(&mut held_told));
+                    let (id, attempt) = (self.id, self.attempt);
+                    // Another attempt was first, or the client has gone: nothing of this one is wanted.
+                    if failed || !host.with(|core, now| core.started(now, id, attempt)) {
+                        return (AttemptEnd { outcome: Outcome::Error, ..end }, false);
+                    }
+                    tracing::debug!(target: "node", request = id.0, attempt, "stream begun");
+                    self.deadline = BOUND;
+                    // No further attempt will need the prompt: its part of the budget is free again.
+                    self.prompt = None;
+                    host.forget_prompt(id);
+                }
+                if self.pieces.send(Piece::Events(bytes, told)).await.is_err() || failed {
+                    return (end, false);
+                }
+                quiet_since = Instant::now();
+            }
+            if over {
+                // An empty answer is none.
+                if complete && self.bound() && framing != Framing::Unstated {
+                    end.outcome = Outcome::Done;
+                }
+                return (end, true);
+            }
+        }
+    }
+
+    /// What events say; keeps what concerns the attempt's end.
+    fn tell(&self, bytes: &[u8], end: &mut AttemptEnd) -> Vec<Event> {
+        let mut told = Vec::new();
+        self.host.nodes.dialect.read(bytes, self.text, &mut told);
+        for event in &told {
+            match event {
+                Event::Usage { kept: Some(kept), .. } => end.kept = Some((*kept).min(u32::MAX.into()) as u32),
+                Event::Load(report) => end.load = dialect::read_load(report, &self.host.deployment.report),
+                Event::Unknown => self.host.unknown_events.set(self.host.unknown_events.get() + 1),
+                _ => {}
+            }
+        }
+        told
+    }
+}
+
+/// The deadline of an attempt whose stream has begun: none.
+const BOUND: Nanos = Nanos::MAX;
+
+/// An attempt out on a connection.
+struct Out(Rc<Host>, ReplicaId);
+
+impl Out {
+    fn on(host: &Rc<Host>, id: ReplicaId) -> Out {
+        *host.nodes.out.borrow_mut().entry(id).or_default() += 1;
+        Out(host.clone(), id)
+    }
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        let mut out = self.0.nodes.out.borrow_mut();
+        if let Some(n) = out.get_mut(&self.1) {
+            *n -= 1;
+            if *n == 0 {
+                out.remove(&self.1);
+            }
+        }
+    }
+}
+
+/// Dropped while a node owes the first byte of an answer, it tells that the node was silent.
+struct Silent<'a> {
+    nodes: &'a Nodes,
+    node: ReplicaId,
+}
+
+impl Drop for Silent<'_> {
+    fn drop(&mut self) {
+        self.nodes.distrust(self.node);
+    }
+}
--- /dev/null
+++ b/router/src/node/probe.rs
@@ -0,0 +1,52 @@
+//! Asks a model node for its health.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use tallypin::api::{Outcome, ReplicaId};
+use tokio::time::timeout;
+
+use super::answer::read_head;
+use crate::core::AttemptEnd;
+use crate::dialect;
+use crate::host::Host;
+use crate::http::{Body, Part, Start};
+
+/// Probes a node and tells the core. The module sends no probes today; its interface has them.
+pub async fn probe(host: Rc<Host>, node: ReplicaId) {
+    let limit = host.limits.probe;
+    let end = timeout(limit, ask_health(&host, node)).await.unwrap_or_else(|_| Outcome::TimedOut.into());
+    host.with(|core, now| core.probed(now, node, end));
+}
+
+async fn ask_health(host: &Host, node: ReplicaId) -> AttemptEnd {
+    let names = &host.deployment.report;
+    let target = if names.is_empty() { "/alive" } else { "/metrics/load" };
+    let mut link = match host.nodes.reach(node).await {
+        Ok(reached) => reached,
+        Err(outcome) => return outcome.into(),
+    };
+    let head = format!("GET {target} HTTP/1.1\r\nHost: backend.local\r\n\r\n");
+    if link.wire.write(Bytes::from(head)).await.is_err() {
+        return Outcome::Refused.into();
+    }
+    let Some(head) = read_head(&mut link.wire, &host.limits).await else { return Outcome::Reset.into() };
+    let Ok(framing) = head.framing() else { return Outcome::Reset.into() };
+    let (mut body, mut report) = (Body::of_answer(framing, host.limits.head), Vec::new());
+    loop {
+        match body.next(&mut link.wire.buf) {
+            Ok(Some(Part::Bytes(data))) if report.len() + data.len() <= host.limits.head => {
+                report.extend_from_slice(&data);
+            }
+            Ok(Some(Part::End)) => break,
+            Ok(None) if matches!(link.wire.more().await, Ok(true)) => {}
+            _ => return Outcome::Reset.into(),
+        }
+    }
+    let outcome = if head.start == Start::Status(200) { Outcome::Done } else { Outcome::Error };
+    let load = dialect::read_load(&String::from_utf8_lossy(&report), names);
+    if head.keeps() && link.wire.buf.is_empty() {
+        host.nodes.give_back(link);
+    }
+    AttemptEnd { outcome, kept: None, load }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,13 +2,16 @@
 //!
 //! The design is DThrottle's: each gateway limits each tenant by a leaky bucket of its own, which peers'
 //! reports of served hits drain as well; admitted requests go to the replica with the least predicted
-//! first-token wait. Sections: constants, membership, admission, reports, pick, attempts, health.
+//! first-token wait. Sections: constants, membership, admission, pick, attempts. The reports to peers and the
+//! health of replicas stand in modules of their own.
+
+mod health;
+mod reports;
 
 use crate::api::*;
 use crate::estimate::{self, Pace};
 use crate::kept::{self, Sessions};
 use crate::membership::{Members, Membership, MOST_HOMES, SCANNED};
-use crate::report;
 use crate::start::ListHeld;
 use crate::state::*;
 use crate::stats::{mix, turn, unit_race, Beginnings};
@@ -62,8 +65,8 @@
 const CROSS_SCALE: f64 = 0.05;
 /// Crossing a zone is worth this many aims of waiting for each unit of its price.
 const CROSS_AIMS: f64 = 3.0;
-/// In a fleet beyond [`SCANNED`] a replica without a connection at rest is worth this share of the aim less: where
-/// each request went to whoever is best by a hair, nearly each would open a connection, at every gateway.
+/// In a fleet beyond [`SCANNED`] a replica without a connection at rest is worth this share of the aim less:
+/// where each request went to whoever is best by a hair, nearly each would open a connection.
 const CONNECT_SHARE: f64 = 0.1;
 /// An attempt may wait for its first token for this share of the aim while another is affordable. What is
 /// called off goes on where it ran: sooner, and a jam feeds itself.
@@ -421,74 +424,6 @@
         left.min(if bound { self.aim(r) - now.saturating_sub(open.arrived) as f64 } else { left })
     }
 
-    // ---- Reports ----
-
-    fn on_tick(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        out.push(Action::WakeAt { at: now + self.period, token: TICK });
-        let dt = now.saturating_sub(self.last_tick).max(1) as f64 / SECOND as f64;
-        self.last_tick = now;
-        self.fleet.note_flow(dt);
-        self.fleet.note_nodes(dt, self.members.ready.all().len(), self.set.cold);
-        let mut counts = Vec::new();
-        let silent = SILENT_PERIODS * self.period as f64;
-        for t in 0..self.buckets.len() {
-            self.refill(now, t);
-            let b = &mut self.buckets[t];
-            b.own_rate += RATE_WEIGHT * (f64::from(b.served) / dt - b.own_rate);
-            for p in &mut b.peers {
-                if now.saturating_sub(p.at) as f64 > silent && p.rate > 0.0 {
-                    p.rate = if p.rate < 1e-3 { 0.0 } else { p.rate / 2.0 };
-                }
-            }
-            b.peer_rate = b.peers.iter().map(|p| p.rate).sum();
-            if b.served > 0 {
-                counts.push((b.served, t as u32));
-                b.served = 0;
-            }
-        }
-        // The highest smoothed wait is where replicas without a sample start.
-        self.fleet.peak = 0.0;
-        for &i in self.members.ready.all() {
-            let r = &self.replicas[i];
-            if r.ejected_until <= now && r.sampled_at > 0 {
-                self.fleet.peak = self.fleet.peak.max(self.smoothed(now, r));
-            }
-        }
-        if self.set.peers && self.set.gateways > 1 && !self.set.tenants.is_empty() {
-            counts.sort_unstable_by_key(|&(c, t)| (Reverse(c), t));
-            for bytes in report::encode(self.set.digest, (dt * 1000.0) as u64, &counts) {
-                out.push(Action::Tell(bytes));
-            }
-        }
-    }
-
-    fn on_report(&mut self, now: Nanos, from: PeerId, bytes: &[u8]) {
-        let peer = from.0 as usize;
-        if from == self.set.me || from.0 >= self.set.gateways || self.set.tenants.is_empty() {
-            return;
-        }
-        let Ok(report) = report::decode(self.set.digest, bytes) else { return };
-        let span = (report.span_ms.max(1) as f64 / 1000.0).max(0.01);
-        for (tenant, count) in report.hits {
-            if tenant as usize >= self.buckets.len() {
-                continue;
-            }
-            self.refill(now, tenant as usize);
-            let b = &mut self.buckets[tenant as usize];
-            let count = f64::from(count);
-            let p = &mut b.peers[peer];
-            let forecast = p.rate * (b.scale_sum - p.scale_then);
-            p.scale_then = b.scale_sum;
-            p.at = now;
-            p.rate += RATE_WEIGHT * (count / span - p.rate);
-            // The outside hits beyond the forecast, each gateway taking its share of them: N gateways
-            // that each took all would be charged, and then reopen, N times over.
-            let (_, share) = b.split(f64::from(self.set.gateways));
-            b.level -= share * (count - forecast);
-            b.peer_rate = b.peers.iter().map(|p| p.rate).sum();
-        }
-    }
-
     // ---- Pick ----
 
     fn smoothed(&self, now: Nanos, r: &Replica) -> f64 {
@@ -950,50 +885,4 @@
         self.open.insert(id, o);
         pick
     }
-
-    // ---- Health ----
-
-    fn note_load(&mut self, now: Nanos, i: usize, load: &[f64]) {
-        let r = &mut self.replicas[i];
-        for (field, &x) in self.set.report.iter().zip(load) {
-            if *field == LoadField::UnreadThousands && x.is_finite() && x >= 0.0 {
-                r.unread = x * 1000.0;
-                r.reported_at = now;
-            }
-        }
-    }
-
-    fn well(&mut self, now: Nanos, i: usize) {
-        let r = &mut self.replicas[i];
-        let silent = now.saturating_sub(r.heard);
-        (r.heard, r.asked) = (now, 0);
-        if r.ejected_until > 0 && silent > SILENCE {
-            // Back after silence: perhaps started anew, perhaps not. Treated as cold from now on.
-            r.cold_from = Some(now);
-            (r.cold_credit, r.cold_at) = (0.0, now);
-            self.note_cold(i);
-        }
-        let r = &mut self.replicas[i];
-        (r.fails, r.ejected_until, r.eject_for) = (0, 0, EJECT.0);
-    }
-
-    fn ill(&mut self, now: Nanos, i: usize, outcome: Outcome, started: bool, after: Nanos) {
-        if outcome == Outcome::TimedOut && !started {
-            self.sample(now, i, after as f64, 1.0);
-        }
-        let jitter = 0.75 + 0.5 * self.rng.f64();
-        let silence = self.set.classes[0].aim as f64 * (PATIENCE * self.fleet.strain).max(1.0);
-        let r = &mut self.replicas[i];
-        // It answers: one error alone says nothing of its health. Several with nothing else between them do:
-        // whoever fails fast always seems free, and would draw all the traffic.
-        r.fails += 1;
-        // Slowness is not silence: unless it had been asked for long without a word to anyone here, a
-        // time-out proves only that this prompt was not read yet.
-        let silent =
-            now.saturating_sub(r.asked.max(r.heard)) as f64 >= silence || outcome != Outcome::TimedOut;
-        if (r.fails >= FAILS && silent) || outcome == Outcome::Refused || r.trial {
-            r.ejected_until = now + (r.eject_for as f64 * jitter) as Nanos;
-            r.eject_for = (r.eject_for * 2).min(EJECT.1);
-        }
-    }
 }
