--- a/src/choice/reports.rs
+++ b/src/choice/reports.rs
@@ -1,4 +1,4 @@
-//! The report period: what this gateway has served is told to its peers, and what they tell drains the buckets.
+//! The report period: what this gateway has served is told to its peers; what they tell drains the buckets.
 
 use std::cmp::Reverse;
 
