--- a/standin/src/trial/replica.rs
+++ b/standin/src/trial/replica.rs
@@ -115,8 +115,10 @@
         }
         if behaviour == Behaviour::SecondAnswer {
             sleep(Duration::from_millis(rng.u64(1..10))).await;
-            let _ = wire.write(DECLINED).await;
-            return;
+            // The connection goes on: whoever asks on it meanwhile takes this for the answer, and is served all the same.
+            if wire.write(DECLINED).await.is_err() {
+                return;
+            }
         }
     }
 }
