Play a SIGTERM before the listener; tell of older list versions once

The signal comes while no socket can be had at the start: it ends the program in order, and not at all once its handler is set up later. A place that goes on telling changes from before a known version wrote a line for each.

--- a/router/src/node_list.rs
+++ b/router/src/node_list.rs
@@ -125,6 +125,8 @@
 struct Place {
     at: SocketAddr,
     version: Cell<Option<u64>>,
+    /// The log has been told that it says what is older than that.
+    told_older: Cell<bool>,
     /// The place that this one takes over from once it has told the list.
     former: RefCell<Option<Rc<Place>>>,
     /// Another place has taken over: what still arrives from this one is older than what is known.
@@ -155,6 +157,7 @@
         let place = Place {
             at,
             version: Cell::new(None),
+            told_older: Cell::new(false),
             former: RefCell::new(former),
             retired: Cell::new(false),
             answered: Notify::new(),
@@ -309,9 +312,13 @@
                         return std::future::pending().await;
                     }
                     if !place.advances(&page) {
-                        tracing::warn!(target: "node_list", version = page.version, "node list: an older version, ignored");
+                        if !place.told_older.replace(true) {
+                            tracing::warn!(target: "node_list", version = page.version, known = place.version.get(),
+                                "node list: older versions are ignored");
+                        }
                         continue;
                     }
+                    place.told_older.set(false);
                     if let Some(former) = place.former.take() {
                         former.retired.set(true);
                     }
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use tallypin_standin::park::{Node, Reserved};
+use tallypin_standin::shim::Library;
 
 fn tallypin() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tallypin"));
@@ -72,6 +73,28 @@
     std::fs::remove_dir_all(&dir).unwrap();
 }
 
+/// Guards against a SIGTERM that ends the program at once, or is lost, before it listens: no socket can be had for a while,
+/// and in that time the signal comes.
+#[test]
+fn sigterm_before_the_listener_is_remembered_and_ends_the_program_in_order() {
+    let dir = tempfile::tempdir().unwrap();
+    let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
+    let reserved = Reserved::on("127.2.2.7").unwrap();
+    let path = dir.path().join("config.json");
+    std::fs::write(&path, include_str!("../../examples/config.json")).unwrap();
+    let mut serve = tallypin();
+    serve.arg("serve").env("PROXY_CONFIG", &path).env("PROXY_LISTEN", reserved.at.to_string());
+    serve.env("PROXY_DISCOVERY", "127.0.0.1:9").env("LD_PRELOAD", &library).env("FAULT_FIRST", "60");
+    let mut child = serve.spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut said = |words: &str| lines.by_ref().map(Result::unwrap).find(|l| l.contains(words)).expect(words);
+    said("a socket cannot be had yet");
+    let sent = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(sent.success());
+    said("told to end");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 /// Guards against a program that SIGHUP ends, as it does to whoever has no handler for it.
 #[test]
 fn sighup_has_the_configuration_read_again_and_sigterm_ends_it_with_exit_code_0() {
