Ask the council for a router's former life before it takes a new one

Cause: a life is the wall time of a start. After the clock was set back by an hour a restarted router took an earlier life than its former one, and no member heard it until the hour was over.

Change: a call of its own asks the members which life they know; the new one is above all that answer. The lives stand in fleet/lives.rs.

--- a/router/src/fleet/link.rs
+++ b/router/src/fleet/link.rs
@@ -2,6 +2,7 @@
 //! and says nothing costs its own calls their time and nobody else's.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,9 +37,17 @@
 
     /// Makes a call; `None`: not answered in time.
     pub async fn call(&self, call: Call) -> Option<Reply> {
+        self.calling(call).await
+    }
+
+    /// The same, made at once, for a task of its own to wait for.
+    pub fn calling(&self, call: Call) -> impl Future<Output = Option<Reply>> + 'static {
         let (answer, answered) = oneshot::channel();
-        self.calls.try_send((call, answer)).ok()?;
-        answered.await.ok()
+        let made = self.calls.try_send((call, answer));
+        async move {
+            made.ok()?;
+            answered.await.ok()
+        }
     }
 
     /// Whether the last call was answered.
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod file_faults;
 pub mod files;
 pub mod link;
+mod lives;
 pub mod orders;
 pub mod plan;
 pub mod settings;
@@ -140,11 +141,6 @@
         let keys = Rc::new(RefCell::new(keys));
         let at = settings.routers[usize::from(settings.me)].at;
         let listener = TcpListener::bind(at).await.map_err(|e| of(&at.to_string(), e))?;
-        // A later start is a later life. A clock that was set back makes it an earlier one, which no member hears until
-        // the life before is that long gone: the router then stays out, as seen from the council.
-        let life = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map_or(1, |d| d.as_nanos() as u64);
         let member = |place: &Place| settings.council.iter().position(|p| p == place);
         let links = |deadline: Duration| -> Vec<Option<Link>> {
             let link = |&p: &Place| {
@@ -154,6 +150,7 @@
             settings.council.iter().map(link).collect()
         };
         let (links, ways) = (links(settings.answer), links(settings.within / 2));
+        let life = lives::next(&links, settings.me).await;
         let path = settings.store.clone().filter(|_| settings.council.contains(&settings.me));
         let stored = match &path {
             Some(path) => stored_there(path.clone(), settings.name.clone()).await,
@@ -287,6 +284,7 @@
             }
             let known = self.is_news(&call);
             let what = match &call.what {
+                What::Life => Some((Said::Life(self.latest_life(call.from)), vec![])),
                 // Others are served meanwhile: it waits for agreement.
                 What::Change(act) if known => Some((Said::Changed(self.queued(act.clone()).await), vec![])),
                 _ if known => self.asked(&call),
@@ -308,15 +306,24 @@
         let Some(last) = heard.get_mut(usize::from(call.from)).map(|ways| &mut ways[way]) else {
             return false;
         };
+        if matches!(call.what, What::Life) {
+            return false;
+        }
         let news = (call.life, call.number) > *last;
         *last = (*last).max((call.life, call.number));
         news
     }
 
+    /// The latest life of a router that its calls have told of; 0: none was heard.
+    fn latest_life(&self, of: Place) -> u64 {
+        let heard = self.heard.borrow();
+        heard.get(usize::from(of)).map_or(0, |ways| ways.iter().map(|(life, _)| *life).max().unwrap_or(0))
+    }
+
     /// Answers a call; `None`: it is none.
     fn asked(&self, call: &Call) -> Option<(Said, Vec<Unclear>)> {
         match &call.what {
-            What::Change(_) => None,
+            What::Change(_) | What::Life => None,
             What::Beat(says) => {
                 self.presence.borrow_mut().beat(self.now(), call.from, call.life, *says);
                 self.tell(call.from, call.life, call.tells.clone().unwrap_or_default());
--- a/router/src/fleet/wire.rs
+++ b/router/src/fleet/wire.rs
@@ -73,6 +73,8 @@
     Ask(Ask<Document>),
     /// To have a change agreed on.
     Change(Act),
+    /// Which life of the one who asks is known: before its first own call. The only call that may be of any life.
+    Life,
 }
 
 /// An answer.
@@ -97,6 +99,8 @@
     Heard(Option<u64>),
     /// Of the register, and who is out, if this member can tell.
     Answer(Answer<Document>, Option<Vec<Place>>),
+    /// The latest life of the one who asks that this member has heard of; 0: of none.
+    Life(u64),
     /// What became of a change; `None`: not known, no majority answered this member in time.
     Changed(Option<Result<Document, No>>),
 }
--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -12,6 +12,7 @@
 use serde_json::Value;
 use tallypin_standin::park::{Does, List, Node};
 use tallypin_standin::relay::Link;
+use tallypin_standin::shim::Library;
 
 /// Two operators at two routers want two of different zones out: one after the other goes, and never both.
 #[test]
@@ -52,6 +53,25 @@
     assert_eq!(fleet.out(3), Some(false));
 }
 
+/// Guards against a life that is taken from a clock which was set back: no member would hear of the router until the clock
+/// has passed its former life.
+#[test]
+fn a_router_whose_clock_was_set_back_is_heard_after_its_restart() {
+    let dir = tempfile::tempdir().unwrap();
+    let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
+    let fleet = Fleet::begun("clock", 64, 4, 3, ONE);
+    // One that is no member of the council, and one that is.
+    for restarted in [3, 1] {
+        fleet.kill(restarted);
+        let silent = serde_json::json!([format!("r{restarted}")]);
+        fleet.until("its silence is known", || fleet.order(0, "status")["out_here"] == silent);
+        let preloaded = ("LD_PRELOAD", library.to_str().unwrap());
+        fleet.start_with(restarted, &[preloaded, ("FAULT_STEP_S", "-3600")]);
+        fleet.until("it is heard again", || fleet.order(0, "status")["out_here"] == serde_json::json!([]));
+        assert_eq!(fleet.out(restarted), Some(false));
+    }
+}
+
 /// Failures on top of planned outs that fill the bound: nobody is brought back by force, and nobody goes until there is
 /// room for one more than both.
 #[test]
--- a/router/tests/fleet_rig/mod.rs
+++ b/router/tests/fleet_rig/mod.rs
@@ -168,12 +168,18 @@
     }
 
     pub fn start(&self, r: usize) {
+        self.start_with(r, &[]);
+    }
+
+    /// The same, with more in its environment.
+    pub fn start_with(&self, r: usize, environment: &[(&str, &str)]) {
         let router = &self.routers[r];
         let log = File::options().create(true).append(true).open(router.dir.join("log")).unwrap();
         let mut serve = Command::new(env!("CARGO_BIN_EXE_tallypin"));
         serve.env_clear().arg("serve").arg("--settings").arg(router.dir.join("t.conf"));
         serve.env("PROXY_CONFIG", router.dir.join("config.json"));
         serve.env("PROXY_LISTEN", router.front.to_string()).stdout(Stdio::null()).stderr(log);
+        serve.envs(environment.iter().copied());
         *router.child.lock().unwrap() = Some(serve.spawn().unwrap());
         router.starts.fetch_add(1, Ordering::SeqCst);
     }
