Log each call for the endpoint list, and how old the list is when an attempt starts

Cause: the log did not tell when a router calls for the list, how soon it is refused or answered, or which list an attempt was decided by, so candidate causes could not be told apart.

--- a/router/src/endpoint_list/mod.rs
+++ b/router/src/endpoint_list/mod.rs
@@ -6,6 +6,7 @@
 //! connections.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tallypin::api::{EndpointListMode, ListUpdate};
@@ -24,7 +25,7 @@
 pub use context::EndpointListContext;
 pub use message::{EndpointListMessage, EndpointRecord};
 
-use source::SourceWatch;
+use source::{LostWatch, SourceWatch};
 use watch_clock::{Backoff, WatchTimeouts};
 
 /// Waits for something, or for ever if there is nothing to wait for.
@@ -100,30 +101,38 @@
                 next = Some(successor(&context, &current, *address.borrow_and_update(), timeouts.next));
             }
             lost = or_pending(next.as_mut().map(|next| next.run(&context))) => {
-                tracing::warn!(target: "node_list", address = ?next_source.as_ref().map(|source| source.address),
-                    error = %lost, "watch at the new endpoint list source lost, reconnecting");
+                let address = next_source.as_ref().map(|source| source.address);
+                log_lost(&context, address, &lost, "watch at the new endpoint list source lost, reconnecting");
             }
             // A further request means that the last one has not been answered in good time.
             () = context.state.poll_requested() => {
+                tracing::debug!(target: "node_list", moving = next.is_some(), "the decisions request the endpoint list");
                 if next.is_none() {
                     current.source.clock.request_watch(context.clock.now());
                 }
             }
             lost = current.run(&context) => {
-                tracing::warn!(target: "node_list", address = %current.source.address, error = %lost,
-                    "endpoint list watch lost");
+                log_lost(&context, Some(current.source.address), &lost, "endpoint list watch lost");
                 context.dispatcher.with(|core, now| core.endpoints_changed(now, ListUpdate::Failed, Vec::new()));
             }
         }
     }
 }
 
+/// Tells why a watch was lost, how long it lasted, and since when nothing is known of the list.
+fn log_lost(context: &EndpointListContext, address: Option<SocketAddr>, lost: &LostWatch, message: &str) {
+    let LostWatch { error, established, open_for, losses } = lost;
+    tracing::warn!(target: "node_list", address = address.map(tracing::field::display), %error, established,
+        open_ms = open_for.as_millis() as u64, losses,
+        unheard_ms = context.state.unheard_for().as_millis() as u64, "{message}");
+}
+
 /// The source at a new address, to supersede `current` when it answers. It is called at once, as the former one may end
 /// soon, and again soon if it fails: one that never answers is not waited for.
 fn successor(
     context: &EndpointListContext,
     current: &SourceWatch,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     timeouts: WatchTimeouts,
 ) -> SourceWatch {
     let next = SourceWatch::new(address, timeouts, Some(current.source.clone()));
--- a/router/src/endpoint_list/source.rs
+++ b/router/src/endpoint_list/source.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
+use tallypin::api::Nanos;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
@@ -50,6 +52,19 @@
     }
 }
 
+/// A watch that was lost, or a call that never became one.
+#[derive(Debug)]
+pub(super) struct LostWatch {
+    /// Why.
+    pub error: WatchError,
+    /// It had been established.
+    pub established: bool,
+    /// How long ago it was opened.
+    pub open_for: Duration,
+    /// Losses since data last arrived, this one included.
+    pub losses: u32,
+}
+
 /// A watch that runs until it is lost.
 type WatchFuture = Pin<Box<dyn Future<Output = WatchError>>>;
 
@@ -57,6 +72,7 @@
 pub(super) struct SourceWatch {
     pub source: Rc<ListSource>,
     watching: Option<WatchFuture>,
+    opened_at: Nanos,
 }
 
 impl SourceWatch {
@@ -76,19 +92,16 @@
             established: Notify::new(),
             clock: WatchClock::new(timeouts),
         };
-        SourceWatch { source: Rc::new(source), watching: None }
+        SourceWatch { source: Rc::new(source), watching: None, opened_at: 0 }
     }
 
     /// Opens the watch when its clock says so and follows it until it is lost. Cancel-safe: the watch is kept in `self`, and
     /// the next call goes on with it.
-    pub async fn run(&mut self, context: &Rc<EndpointListContext>) -> WatchError {
-        let clock = &self.source.clock;
-        let lost = loop {
+    pub async fn run(&mut self, context: &Rc<EndpointListContext>) -> LostWatch {
+        let error = loop {
+            let clock = &self.source.clock;
             match clock.next_step(context.clock.now()) {
-                WatchStep::Open => {
-                    clock.watch_opened(context.clock.now());
-                    self.watching = Some(Box::pin(watch(context.clone(), self.source.clone())));
-                }
+                WatchStep::Open => self.open(context),
                 WatchStep::Abandon => break WatchError::Silent,
                 WatchStep::Wait(until) => tokio::select! {
                     biased;
@@ -99,8 +112,34 @@
                 },
             }
         };
+        self.close(context, error)
+    }
+
+    /// Opens a watch in place of one that may be there: that one has been asked for again, so it was not answered in time.
+    fn open(&mut self, context: &Rc<EndpointListContext>) {
+        if self.watching.take().is_some() {
+            context.state.count(|counts| counts.failed += 1);
+            tracing::debug!(target: "node_list", address = %self.source.address,
+                "endpoint list call abandoned for a further one");
+        }
+        self.opened_at = context.clock.now();
+        self.source.clock.watch_opened(self.opened_at);
+        context.state.count(|counts| counts.opened += 1);
+        tracing::debug!(target: "node_list", address = %self.source.address, since = self.source.version.get(),
+            unheard_ms = context.state.unheard_for().as_millis() as u64, "endpoint list watch opened");
+        self.watching = Some(Box::pin(watch(context.clone(), self.source.clone())));
+    }
+
+    fn close(&mut self, context: &EndpointListContext, error: WatchError) -> LostWatch {
         self.watching = None;
-        clock.watch_lost(context.clock.now(), context.random.borrow_mut().f64());
-        lost
+        let clock = &self.source.clock;
+        let (now, established) = (context.clock.now(), clock.is_established());
+        clock.watch_lost(now, context.random.borrow_mut().f64());
+        context.state.count(|counts| match established {
+            true => counts.lost += 1,
+            false => counts.failed += 1,
+        });
+        let open_for = Duration::from_nanos(now.saturating_sub(self.opened_at));
+        LostWatch { error, established, open_for, losses: clock.losses() }
     }
 }
--- a/router/src/endpoint_list/watch.rs
+++ b/router/src/endpoint_list/watch.rs
@@ -104,6 +104,9 @@
     let mut wire = connect(context, source).await?;
     let framing = read_head(context, &mut wire).await?;
     source.clock.heard(context.clock.now());
+    context.state.count(|counts| counts.established += 1);
+    tracing::info!(target: "node_list", address = %source.address, since = source.version.get(),
+        unheard_ms = context.state.unheard_for().as_millis() as u64, "endpoint list watch established");
     source.established.notify_one();
     let (mut body, mut objects) =
         (BodyReader::new(framing, limits.max_list_line_size as u64), ObjectReader::default());
@@ -184,6 +187,9 @@
             continue;
         }
         source.accept(&message);
+        context.state.applied(message.version);
+        tracing::debug!(target: "node_list", address = %source.address, version = message.version, full = message.full,
+            records = message.endpoints.len(), "endpoint list message");
         apply(context, &message, if message.full { ListUpdate::Full } else { ListUpdate::Delta });
         source.answered.notify_one();
     }
--- a/router/src/endpoint_list/watch_clock.rs
+++ b/router/src/endpoint_list/watch_clock.rs
@@ -112,6 +112,16 @@
         self.state.set(self.timeouts.get().reconnect.map_or(State::Idle, open_again));
     }
 
+    /// Whether there is a watch that has been answered.
+    pub fn is_established(&self) -> bool {
+        matches!(self.state.get(), State::Heard(_))
+    }
+
+    /// Losses since data last arrived.
+    pub fn losses(&self) -> u32 {
+        self.losses.get()
+    }
+
     /// What is to be done now.
     pub fn next_step(&self, now: Nanos) -> WatchStep {
         let timeouts = self.timeouts.get();
--- a/router/src/endpoint_list_state.rs
+++ b/router/src/endpoint_list_state.rs
@@ -1,5 +1,5 @@
-//! What the rest of the router sees of the endpoint list's watch: where the list is, whether it is to be polled, and when it
-//! was last heard.
+//! What the rest of the router sees of the endpoint list's watch: where the list is, whether it is to be polled, which version
+//! is applied, when it was last heard, and what became of the calls for it.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -7,6 +7,19 @@
 
 use tokio::sync::{watch, Notify};
 
+/// What became of the calls for the endpoint list since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WatchCounts {
+    /// Calls that were begun.
+    pub opened: u64,
+    /// Of these, how many were answered by a watch.
+    pub established: u64,
+    /// How many failed before that: refused, not answered in time, or broken.
+    pub failed: u64,
+    /// Watches that were lost after they had been established.
+    pub lost: u64,
+}
+
 /// The state of the endpoint list's watch.
 #[derive(Debug)]
 pub struct EndpointListState {
@@ -15,6 +28,8 @@
     started_at: Instant,
     heard_at: Cell<Option<Instant>>,
     silence_limit: Duration,
+    version: Cell<Option<u64>>,
+    counts: Cell<WatchCounts>,
 }
 
 impl EndpointListState {
@@ -26,6 +41,8 @@
             started_at: Instant::now(),
             heard_at: Cell::new(None),
             silence_limit,
+            version: Cell::new(None),
+            counts: Cell::default(),
         }
     }
 
@@ -54,10 +71,36 @@
         self.heard_at.set(Some(Instant::now()));
     }
 
+    /// A message has been applied that leads to this version.
+    pub fn applied(&self, version: u64) {
+        self.version.set(Some(version));
+    }
+
+    /// The version last applied since the start; `None` before the first.
+    pub fn version(&self) -> Option<u64> {
+        self.version.get()
+    }
+
+    /// Changes the counts of calls.
+    pub fn count(&self, change: impl FnOnce(&mut WatchCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// What became of the calls for the list.
+    pub fn counts(&self) -> WatchCounts {
+        self.counts.get()
+    }
+
+    /// For how long the list has said nothing; since the start of the router if it never did.
+    pub fn unheard_for(&self) -> Duration {
+        self.heard_at.get().unwrap_or(self.started_at).elapsed()
+    }
+
     /// For how long the list has said nothing, if that is longer than a standing watch would take.
     pub fn silence(&self) -> Option<Duration> {
-        let silent = self.heard_at.get().unwrap_or(self.started_at).elapsed();
-        Some(silent).filter(|s| *s > self.silence_limit)
+        Some(self.unheard_for()).filter(|s| *s > self.silence_limit)
     }
 
     /// Whether the list has said something since the start, and not too long ago.
--- a/router/src/status.rs
+++ b/router/src/status.rs
@@ -8,6 +8,7 @@
 
 use crate::components::Components;
 use crate::core::RequestCounts;
+use crate::endpoint_list_state::{EndpointListState, WatchCounts};
 use crate::log::Log;
 
 const NANOS_PER_MS: u64 = 1_000_000;
@@ -26,6 +27,17 @@
     )
 }
 
+/// The endpoint list and the calls for it in one line.
+pub fn format_endpoint_list(list: &EndpointListState) -> String {
+    let version = list.version().map_or("none".into(), |version| version.to_string());
+    let WatchCounts { opened, established, failed, lost } = list.counts();
+    format!(
+        "endpoint list version {version}, last heard {} ms ago, calls {opened} ({established} established, {failed} failed), \
+         watches lost {lost}",
+        list.unheard_for().as_millis()
+    )
+}
+
 /// The state in one line.
 pub fn format_state(components: &Components) -> String {
     let (open, timers, replicas) =
@@ -64,13 +76,14 @@
     line.push_str(if replica.is_warming_up { ", warming up" } else { "" });
 }
 
-/// Logs state, counts, and how many lines of the log were dropped, again and again. Never ends.
+/// Logs state, counts, the endpoint list, and how many lines of the log were dropped, again and again. Never ends.
 pub async fn log_periodically(components: Rc<Components>, log: Option<Rc<Log>>) {
     let mut every = tokio::time::interval(components.limits.status_interval);
     loop {
         every.tick().await;
         tracing::info!(target: "status", "{}", format_state(&components));
         tracing::info!(target: "status", "{}", components.with(|core, _| format_counts(core.counts())));
+        tracing::info!(target: "status", "{}", format_endpoint_list(&components.endpoint_list.state));
         let dropped = log.as_ref().map_or(0, |log| log.newly_dropped());
         if dropped > 0 {
             tracing::warn!(target: "status", dropped, "log lines dropped");
