Call for the endpoint list by the time left, and let routers tell each other of drains

Cause: discovery answers one call after the other. When most of a fleet was restarted, its calls were refused, each refusal made the wait for the next one longer whatever was left of the 6 s, and who had been refused most often called least often. Change: the interval between calls goes by the distance to the time from which a router counts as notified, bounded for the fleet; the first call comes within 2 s. A router that does not hear the list asks three others twice a second which replicas take nothing new, and leaves these out until its own list is heard. Of the same class: half a message or a head alone no longer counts as a sign of life, a silent watch is given up after 3 s in place of 4, the former address is called while a new one says nothing, an operator's order no longer passes for a sign of the list, a lost answer is waited for 3 s at the most. The test of growing pauses is replaced by one of pauses that do not grow: the growth was the fault.

--- a/router/src/components.rs
+++ b/router/src/components.rs
@@ -73,7 +73,7 @@
         let Config { seed, deployment, limits, node_list, .. } = config;
         let (deployment, limits, clock) = (Rc::new(deployment), Rc::new(limits), Clock::new());
         let (lifecycle, peers) = (Rc::new(Lifecycle::new()), peers.map(Rc::new));
-        let list_state = Rc::new(EndpointListState::new(node_list, limits.watch_silence_timeout));
+        let list_state = Rc::new(EndpointListState::new(node_list, limits.list_silence_limit));
         let request_ids = Rc::new(RequestIds::new(seed, limits.max_remembered_requests));
         let replicas = Rc::new(ReplicaPool::new(dialect, &limits));
         let report_fields = deployment.report_field_names.clone();
--- a/router/src/connections.rs
+++ b/router/src/connections.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use tallypin::api::ReplicaId;
+use tallypin::api::{PeerId, ReplicaId};
 use tokio::task::AbortHandle;
 
 use crate::dispatcher::{AttemptStart, Dispatcher, Executor};
@@ -47,4 +47,10 @@
             peers.gossip(report);
         }
     }
+
+    fn send_to_peer(&self, peer: PeerId, bytes: &[u8]) {
+        if let Some(peers) = &self.peers {
+            peers.send_to(peer, bytes);
+        }
+    }
 }
--- a/router/src/core/instruction.rs
+++ b/router/src/core/instruction.rs
@@ -1,6 +1,6 @@
 //! What the core wants done.
 
-use tallypin::api::{Nanos, ReplicaId, RequestId};
+use tallypin::api::{Nanos, PeerId, ReplicaId, RequestId};
 
 use super::answer::{FinalAnswer, RequestSummary};
 use super::request::AbortReason;
@@ -43,4 +43,11 @@
     WatchEndpoints,
     /// Send a load report to the other routers.
     SendReport(Vec<u8>),
+    /// Send a message to one other router.
+    SendToPeer {
+        /// The router.
+        peer: PeerId,
+        /// The message.
+        bytes: Vec<u8>,
+    },
 }
--- a/router/src/core/mod.rs
+++ b/router/src/core/mod.rs
@@ -179,7 +179,7 @@
     pub fn override_replicas(&mut self, now: Nanos, drained: &[ReplicaId], restored: &[Restoration]) {
         let rows = self.endpoints.set_overrides(drained, restored);
         if !rows.is_empty() {
-            self.notify(now, Event::EndpointList { kind: ListUpdate::Delta, rows });
+            self.notify(now, Event::EndpointList { kind: ListUpdate::Override, rows });
         }
     }
 
@@ -193,8 +193,8 @@
         self.endpoints.entries()
     }
 
-    /// A load report of another router has come.
-    pub fn report_received(&mut self, now: Nanos, from: PeerId, bytes: Vec<u8>) {
+    /// A message of another router has come: a load report, or one about drains.
+    pub fn peer_message_received(&mut self, now: Nanos, from: PeerId, bytes: Vec<u8>) {
         self.notify(now, Event::PeerMessage { from, bytes });
     }
 
@@ -300,6 +300,9 @@
             Action::Probe(node) => self.instructions.push(Instruction::Probe(node)),
             Action::WatchEndpoints => self.instructions.push(Instruction::WatchEndpoints),
             Action::Gossip(bytes) => self.instructions.push(Instruction::SendReport(bytes)),
+            Action::SendToPeer { peer, bytes } => {
+                self.instructions.push(Instruction::SendToPeer { peer, bytes })
+            }
             Action::WakeAt { at, token } => self.timers.schedule(at, TimerKind::Decision(token)),
         }
     }
--- a/router/src/dispatcher.rs
+++ b/router/src/dispatcher.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
-use tallypin::api::{Nanos, ReplicaId, RequestId, SettingsError};
+use tallypin::api::{Nanos, PeerId, ReplicaId, RequestId, SettingsError};
 use tallypin::deployment::Deployment;
 use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
@@ -76,6 +76,8 @@
     fn watch_endpoints(&self);
     /// Sends a load report to the other routers.
     fn send_report(&self, report: &[u8]);
+    /// Sends a message to one other router.
+    fn send_to_peer(&self, peer: PeerId, bytes: &[u8]);
 }
 
 /// A client that waits for its answer.
@@ -223,6 +225,7 @@
                 Instruction::Probe(replica) => self.executor.probe(self, replica),
                 Instruction::WatchEndpoints => self.executor.watch_endpoints(),
                 Instruction::SendReport(report) => self.executor.send_report(&report),
+                Instruction::SendToPeer { peer, bytes } => self.executor.send_to_peer(peer, &bytes),
             }
         }
     }
--- a/router/src/endpoint_list/apply.rs
+++ b/router/src/endpoint_list/apply.rs
@@ -38,8 +38,10 @@
     let listed: FxHashSet<ReplicaId> = listed.iter().map(|entry| entry.replica).collect();
     context.dispatcher.with(|core, now| core.endpoints_changed(now, kind, entries));
     match kind {
-        ListUpdate::Delta => context.replicas.remove(&gone),
-        _ => context.replicas.retain(|id| listed.contains(&id)),
+        ListUpdate::Delta | ListUpdate::Override => context.replicas.remove(&gone),
+        ListUpdate::Full | ListUpdate::Cached | ListUpdate::Failed => {
+            context.replicas.retain(|id| listed.contains(&id))
+        }
     }
 }
 
--- a/router/src/endpoint_list/mod.rs
+++ b/router/src/endpoint_list/mod.rs
@@ -26,7 +26,7 @@
 pub use message::{EndpointListMessage, EndpointRecord};
 
 use source::{LostWatch, SourceWatch};
-use watch_clock::{Backoff, WatchTimeouts};
+use watch_clock::WatchTimeouts;
 
 /// Waits for something, or for ever if there is nothing to wait for.
 async fn or_pending<F: Future>(something: Option<F>) -> F::Output {
@@ -52,17 +52,16 @@
         match mode {
             EndpointListMode::Pushed => {
                 // The agent is the router's own: no others call it, and it is called as often as ever.
-                let steady = Backoff { first: limits.agent_backoff, max: limits.agent_backoff };
                 let agent = WatchTimeouts {
                     answer: limits.agent_response_timeout,
-                    reconnect: Some(steady),
+                    reconnect: Some(limits.agent_backoff),
                     ..polled
                 };
                 SourceTimeouts { current: agent, next: agent }
             }
             EndpointListMode::Polled { .. } => {
-                let backoff = Backoff { first: limits.min_list_backoff, max: limits.max_list_backoff };
-                SourceTimeouts { current: polled, next: WatchTimeouts { reconnect: Some(backoff), ..polled } }
+                let next = WatchTimeouts { reconnect: Some(limits.list_call_interval), ..polled };
+                SourceTimeouts { current: polled, next }
             }
         }
     }
@@ -107,9 +106,8 @@
             // A further request means that the last one has not been answered in good time.
             () = context.state.poll_requested() => {
                 tracing::debug!(target: "node_list", moving = next.is_some(), "the decisions request the endpoint list");
-                if next.is_none() {
-                    current.source.clock.request_watch(context.clock.now());
-                }
+                // Also while the list moves: until the new address answers, the former one may be the only one that does.
+                current.source.clock.request_watch(context.clock.now());
             }
             lost = current.run(&context) => {
                 log_lost(&context, Some(current.source.address), &lost, "endpoint list watch lost");
--- a/router/src/endpoint_list/source.rs
+++ b/router/src/endpoint_list/source.rs
@@ -30,8 +30,8 @@
     pub superseded: Cell<bool>,
     /// Notified when a message of it has been applied.
     pub answered: Notify,
-    /// Notified when a call has been answered: from then on the watch is held to other timeouts.
-    pub established: Notify,
+    /// Notified when the watch is held to another timeout, which may end sooner.
+    pub timeouts_changed: Notify,
     pub clock: WatchClock,
 }
 
@@ -61,7 +61,7 @@
     pub established: bool,
     /// How long ago it was opened.
     pub open_for: Duration,
-    /// Losses since data last arrived, this one included.
+    /// Losses since a watch was last heard, this one included.
     pub losses: u32,
 }
 
@@ -89,7 +89,7 @@
             predecessor: RefCell::new(predecessor),
             superseded: Cell::new(false),
             answered: Notify::new(),
-            established: Notify::new(),
+            timeouts_changed: Notify::new(),
             clock: WatchClock::new(timeouts),
         };
         SourceWatch { source: Rc::new(source), watching: None, opened_at: 0 }
@@ -106,7 +106,7 @@
                 WatchStep::Wait(until) => tokio::select! {
                     biased;
                     lost = or_pending(self.watching.as_mut()) => break lost,
-                    () = self.source.established.notified() => {}
+                    () = self.source.timeouts_changed.notified() => {}
                     // What arrives meanwhile puts the time off: the clock is asked again then.
                     () = or_pending(until.map(|at| sleep_until(context.clock.instant(at).into()))) => {}
                 },
--- a/router/src/endpoint_list/watch.rs
+++ b/router/src/endpoint_list/watch.rs
@@ -40,7 +40,7 @@
     Ended,
     /// The connection was closed.
     Closed,
-    /// Nothing arrived for longer than the timeouts allow.
+    /// Nothing arrived for longer than the timeouts allow, or no whole message.
     Silent,
 }
 
@@ -58,7 +58,7 @@
             WatchError::MessageTooLarge(limit) => write!(f, "a message of more than {limit} bytes"),
             WatchError::Ended => f.write_str("response ended"),
             WatchError::Closed => f.write_str("connection closed"),
-            WatchError::Silent => f.write_str("no data within the time limit"),
+            WatchError::Silent => f.write_str("nothing whole within the time limit"),
         }
     }
 }
@@ -103,20 +103,20 @@
     let limits = &context.limits;
     let mut wire = connect(context, source).await?;
     let framing = read_head(context, &mut wire).await?;
-    source.clock.heard(context.clock.now());
-    context.state.count(|counts| counts.established += 1);
-    tracing::info!(target: "node_list", address = %source.address, since = source.version.get(),
-        unheard_ms = context.state.unheard_for().as_millis() as u64, "endpoint list watch established");
-    source.established.notify_one();
+    note_incomplete(context, source);
     let (mut body, mut objects) =
         (BodyReader::new(framing, limits.max_list_line_size as u64), ObjectReader::default());
     loop {
         match body.next_part(&mut wire.unread) {
             Ok(Some(BodyPart::Data(data))) => {
-                context.state.heard();
-                source.clock.heard(context.clock.now());
                 objects.push(&data);
-                apply_whole_messages(context, source, &mut objects).await?;
+                let whole = apply_whole_messages(context, source, &mut objects).await?;
+                if whole > 0 || objects.held() == 0 {
+                    note_sign_of_life(context, source);
+                }
+                if objects.held() > 0 && !data.trim_ascii().is_empty() {
+                    note_incomplete(context, source);
+                }
                 if objects.held() > limits.max_list_line_size {
                     return Err(WatchError::MessageTooLarge(limits.max_list_line_size));
                 }
@@ -129,6 +129,22 @@
     }
 }
 
+/// A whole message has arrived, or a blank line between messages.
+fn note_sign_of_life(context: &EndpointListContext, source: &ListSource) {
+    if source.clock.heard(context.clock.now()) {
+        context.state.count(|counts| counts.established += 1);
+        tracing::info!(target: "node_list", address = %source.address, version = source.version.get(),
+            unheard_ms = context.state.unheard_for().as_millis() as u64, "endpoint list watch established");
+    }
+    context.state.heard();
+}
+
+/// A response or a message has begun, or gone on, and is not whole.
+fn note_incomplete(context: &EndpointListContext, source: &ListSource) {
+    source.clock.incomplete(context.clock.now());
+    source.timeouts_changed.notify_one();
+}
+
 /// Connects and sends the request, which names the version that is known.
 async fn connect(
     context: &EndpointListContext,
@@ -166,13 +182,15 @@
     MessageHead::parse_response(buf, &context.limits).map_err(|_| WatchError::MalformedHead)
 }
 
-/// Applies the messages that have arrived whole, but for those that are older than what is known.
+/// Applies the messages that have arrived whole, but for those that are older than what is known; how many were whole.
 async fn apply_whole_messages(
     context: &Rc<EndpointListContext>,
     source: &ListSource,
     objects: &mut ObjectReader,
-) -> Result<(), WatchError> {
+) -> Result<usize, WatchError> {
+    let mut whole = 0;
     while let Some(object) = objects.take()? {
+        whole += 1;
         let message: EndpointListMessage =
             serde_json::from_slice(&object).map_err(WatchError::InvalidMessage)?;
         if source.superseded.get() {
@@ -193,5 +211,5 @@
         apply(context, &message, if message.full { ListUpdate::Full } else { ListUpdate::Delta });
         source.answered.notify_one();
     }
-    Ok(())
+    Ok(whole)
 }
--- a/router/src/endpoint_list/watch_clock.rs
+++ b/router/src/endpoint_list/watch_clock.rs
@@ -10,36 +10,16 @@
 
 use tallypin::api::Nanos;
 
-/// The doublings of a backoff's delay: more would overflow, and no maximum is that long.
-const MAX_DOUBLINGS: u32 = 20;
-
 /// The times that a watch is held to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WatchTimeouts {
-    /// A call that has not been answered within this is abandoned.
+    /// A call that has not been answered within this is abandoned, and so is a watch with a message that has begun and does
+    /// not go on for so long.
     pub answer: Duration,
-    /// A watch without data for so long is abandoned.
+    /// A watch without a sign of life for so long is abandoned.
     pub silence: Duration,
-    /// After a loss it is opened again with this backoff; `None`: at the next request.
-    pub reconnect: Option<Backoff>,
-}
-
-/// The delay after a loss: twice as long after each further one, and half of it by chance, so that hundreds of routers that
-/// lost their watches together neither call together nor as often as ever.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Backoff {
-    /// After the first loss.
-    pub first: Duration,
-    /// The longest.
-    pub max: Duration,
-}
-
-impl Backoff {
-    /// The delay after so many losses in a row before this one; `random` is from 0 to 1.
-    fn delay(self, losses: u32, random: f64) -> Duration {
-        let whole = self.first.saturating_mul(1 << losses.min(MAX_DOUBLINGS)).min(self.max);
-        whole.mul_f64(0.5 + 0.5 * random)
-    }
+    /// After a loss it is opened again at this interval; `None`: at the next request.
+    pub reconnect: Option<Duration>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,8 +30,11 @@
     OpenAt(Nanos),
     /// It was opened then, and is not answered yet.
     Opened(Nanos),
-    /// Data of it last arrived then.
+    /// A whole message or a sign of life last arrived then, and nothing since.
     Heard(Nanos),
+    /// A response or a message has begun and is not whole; more of it last arrived then. Blank lines behind it are no sign of
+    /// life: half of a list tells nothing, however long its connection goes on.
+    Incomplete(Nanos),
 }
 
 /// What is to be done now.
@@ -70,7 +53,9 @@
 pub struct WatchClock {
     timeouts: Cell<WatchTimeouts>,
     state: Cell<State>,
-    /// Losses since data last arrived.
+    /// The watch has been heard.
+    established: Cell<bool>,
+    /// Losses since a watch was last heard.
     losses: Cell<u32>,
 }
 
@@ -81,7 +66,12 @@
 impl WatchClock {
     /// No watch yet.
     pub fn new(timeouts: WatchTimeouts) -> WatchClock {
-        WatchClock { timeouts: Cell::new(timeouts), state: Cell::new(State::Idle), losses: Cell::new(0) }
+        WatchClock {
+            timeouts: Cell::new(timeouts),
+            state: Cell::new(State::Idle),
+            established: Cell::new(false),
+            losses: Cell::new(0),
+        }
     }
 
     /// The watch is held to other timeouts from now on.
@@ -97,27 +87,35 @@
     /// The watch has been opened.
     pub fn watch_opened(&self, now: Nanos) {
         self.state.set(State::Opened(now));
+        self.established.set(false);
     }
 
-    /// Data of the watch have arrived.
-    pub fn heard(&self, now: Nanos) {
+    /// A whole message or a sign of life has arrived; true if it is the first of this watch.
+    pub fn heard(&self, now: Nanos) -> bool {
         self.state.set(State::Heard(now));
         self.losses.set(0);
+        !self.established.replace(true)
+    }
+
+    /// The beginning of a response or of a message has arrived, or more of it, and not its end.
+    pub fn incomplete(&self, now: Nanos) {
+        self.state.set(State::Incomplete(now));
     }
 
-    /// The watch has ended, or was abandoned. `random` is from 0 to 1.
+    /// The watch has ended, or was abandoned. `random` is from 0 to 1: half of the interval is by chance, so that hundreds of
+    /// routers that lost their watches together do not call together.
     pub fn watch_lost(&self, now: Nanos, random: f64) {
-        let losses = self.losses.replace(self.losses.get().saturating_add(1));
-        let open_again = |backoff: Backoff| State::OpenAt(after(now, backoff.delay(losses, random)));
+        self.losses.set(self.losses.get().saturating_add(1));
+        let open_again = |interval: Duration| State::OpenAt(after(now, interval.mul_f64(0.5 + 0.5 * random)));
         self.state.set(self.timeouts.get().reconnect.map_or(State::Idle, open_again));
     }
 
-    /// Whether there is a watch that has been answered.
+    /// Whether the last watch was heard.
     pub fn is_established(&self) -> bool {
-        matches!(self.state.get(), State::Heard(_))
+        self.established.get()
     }
 
-    /// Losses since data last arrived.
+    /// Losses since a watch was last heard.
     pub fn losses(&self) -> u32 {
         self.losses.get()
     }
@@ -128,7 +126,7 @@
         let (at, then) = match self.state.get() {
             State::Idle => return WatchStep::Wait(None),
             State::OpenAt(at) => (at, WatchStep::Open),
-            State::Opened(at) => (after(at, timeouts.answer), WatchStep::Abandon),
+            State::Opened(at) | State::Incomplete(at) => (after(at, timeouts.answer), WatchStep::Abandon),
             State::Heard(at) => (after(at, timeouts.silence), WatchStep::Abandon),
         };
         match at <= now {
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tallypin::api::MAX_LIST_POLL_DELAY;
+use tallypin::api::{list_call_interval, Nanos, NOTIFICATION_LIMIT};
 use tallypin::deployment::Deployment;
 
 /// The limits of one router.
@@ -71,16 +71,16 @@
     pub health_check_timeout: Duration,
     /// An answer that the decisions have yet to give is given within this after the client's deadline.
     pub deadline_slack: Duration,
-    /// A watch of the endpoint list without a line for this long is lost.
+    /// A watch of the endpoint list without a sign of life for this long is lost: one comes every 2 s. What it misses counts as
+    /// notified 6 s after it fell silent, which has to do for this and for a further call.
     pub watch_silence_timeout: Duration,
-    /// A call for the endpoint list without a response is given up after this. Discovery may hold a call for 2 s before it
-    /// fails it.
+    /// A list that has said nothing for this long is told of as silent.
+    pub list_silence_limit: Duration,
+    /// A call for the endpoint list is given up after this without a response, and a watch when a message that has begun does
+    /// not go on for so long. Discovery may hold a call for 2 s before it fails it.
     pub list_response_timeout: Duration,
-    /// The backoff after the first failure of a call for the endpoint list at another address.
-    pub min_list_backoff: Duration,
-    /// The longest backoff between calls for the endpoint list. With a call that is given up it is well short of the 6 s after
-    /// which the router counts as notified of a change.
-    pub max_list_backoff: Duration,
+    /// The interval between calls for the endpoint list at another address.
+    pub list_call_interval: Duration,
     /// A local agent that has the endpoint list pushed to it responds at once: without a response within this it is silent.
     pub agent_response_timeout: Duration,
     /// The backoff between calls to a local agent. It is short, as the agent counts as notified once it is reachable.
@@ -116,6 +116,9 @@
 const MAX_KILL_DEADLINE: Duration = Duration::from_secs(3);
 /// The router may be held up for 0.15 s before it sees the order to stop and as long again before it writes; 0.1 s are spare.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// A list at another address is called for as if so little were left of the time after which the router counts as notified: how
+/// long the former one goes on is not known.
+const MOVED_LIST_TIME_LEFT: Nanos = NOTIFICATION_LIMIT / 4;
 /// The most that an answer may come after its deadline, whatever the deployment allows.
 const MAX_DEADLINE_SLACK: Duration = Duration::from_millis(10);
 
@@ -145,10 +148,9 @@
     client_write_timeout: Duration::from_secs(30),
     stream_silence_timeout: Duration::from_secs(4),
     health_check_timeout: Duration::from_millis(500),
-    watch_silence_timeout: Duration::from_secs(4),
+    watch_silence_timeout: Duration::from_secs(3),
+    list_silence_limit: Duration::from_secs(4),
     list_response_timeout: Duration::from_millis(2200),
-    min_list_backoff: Duration::from_millis(300),
-    max_list_backoff: Duration::from_nanos(MAX_LIST_POLL_DELAY),
     agent_response_timeout: Duration::from_millis(250),
     agent_backoff: Duration::from_millis(200),
     shutdown_grace: Duration::from_millis(500),
@@ -166,6 +168,7 @@
     max_rejected_clients: 0,
     max_replica_connections: 0,
     max_open_requests: 0,
+    list_call_interval: Duration::ZERO,
     connect_timeout: Duration::ZERO,
     replica_idle_timeout: Duration::ZERO,
     deadline_slack: Duration::ZERO,
@@ -190,6 +193,11 @@
             max_rejected_clients,
             max_replica_connections,
             max_open_requests: deployment.max_in_flight,
+            list_call_interval: nanos(list_call_interval(
+                deployment.decisions.router_count,
+                0,
+                MOVED_LIST_TIME_LEFT,
+            )),
             connect_timeout: nanos(deployment.connect_timeout),
             replica_idle_timeout: nanos(deployment.replica_idle_timeout) * 7 / 10,
             deadline_slack: nanos(deployment.deadline_slack).min(MAX_DEADLINE_SLACK),
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -1,4 +1,4 @@
-//! Load reports between the routers of a deployment, as datagrams.
+//! Messages between the routers of a deployment, as datagrams: load reports, and which replicas take nothing new.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -7,6 +7,7 @@
 use std::{fmt, io};
 
 use tallypin::api::{PeerId, TenantsDigest};
+use tallypin::drain_notice::DrainMessage;
 use tallypin::served_report::{self, ReportError, ServedReport};
 use tokio::net::UdpSocket;
 
@@ -102,6 +103,14 @@
         }
     }
 
+    /// Sends a message to one other router; it may be lost as well.
+    pub fn send_to(&self, peer: PeerId, bytes: &[u8]) {
+        let address = self.addresses.each.get(peer.0 as usize);
+        if let Some(to) = address.filter(|_| bytes.len() <= MAX_MESSAGE_BYTES) {
+            let _ = self.socket.try_send_to(bytes, *to);
+        }
+    }
+
     /// The next message of another router, be it a usable report or not: the decisions read it for themselves. Cancel-safe:
     /// no message is lost while it is waited for.
     pub async fn receive(&self) -> (PeerId, Vec<u8>) {
@@ -121,8 +130,13 @@
         }
     }
 
-    /// Takes note of a message of a peer.
+    /// Takes note of a message of a peer. One about drains may come from a router that has just started, or is about to
+    /// end, and tells nothing of whether clients can go there.
     fn record_heard(&self, bytes: &[u8]) {
+        if DrainMessage::is_one(bytes) {
+            tracing::debug!(target: "peers", message = ?DrainMessage::decode(bytes), "message about drains");
+            return;
+        }
         self.heard_at.set(Some(Instant::now()));
         let serves = |report: &ServedReport| report.served.iter().any(|count| count.requests > 0);
         match served_report::decode(self.digest, bytes) {
@@ -173,6 +187,6 @@
 pub async fn receive_gossip(peers: Rc<Peers>, dispatcher: Rc<Dispatcher>) {
     loop {
         let (from, bytes) = peers.receive().await;
-        dispatcher.with(|core, now| core.report_received(now, from, bytes));
+        dispatcher.with(|core, now| core.peer_message_received(now, from, bytes));
     }
 }
--- a/simhost/src/wire/tests.rs
+++ b/simhost/src/wire/tests.rs
@@ -65,12 +65,14 @@
         send,
         Action::Reject { request, retry_after: 5, reason: RejectReason::QuotaExceeded },
         Action::Gossip(vec![0x68, 0x0a]),
+        Action::SendToPeer { peer: PeerId(7), bytes: vec![0x01] },
     ] {
         write_action(3, &a, &names, &mut text);
     }
     let wanted = "ISSUE Who=gateway-3 Ref=9 Replica=10.18.74.7:5003 LimitNs=80\n\
                       REJECT Who=gateway-3 Ref=9 ComeBackNs=5\n\
-                      TELL Who=gateway-3 To=* Content=680a\n";
+                      TELL Who=gateway-3 To=* Content=680a\n\
+                      TELL Who=gateway-3 To=7 Content=01\n";
     assert_eq!(text, wanted);
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -9,7 +9,9 @@
 mod settings;
 
 pub use self::action::Action;
-pub use self::endpoint::{EndpointEntry, EndpointListMode, EndpointState, ListUpdate, MAX_LIST_POLL_DELAY};
+pub use self::endpoint::{
+    list_call_interval, EndpointEntry, EndpointListMode, EndpointState, ListUpdate, NOTIFICATION_LIMIT,
+};
 pub use self::event::Event;
 pub use self::ids::{
     ClassId, Nanos, PeerId, PrefixKey, ReplicaId, RequestId, SessionKey, TenantId, ZoneId, SECOND,
--- a/src/api/action.rs
+++ b/src/api/action.rs
@@ -1,6 +1,6 @@
 //! What a router gets back.
 
-use super::ids::{Nanos, ReplicaId, RequestId};
+use super::ids::{Nanos, PeerId, ReplicaId, RequestId};
 use super::request::RejectReason;
 
 /// What a router is to do, in this order.
@@ -39,6 +39,13 @@
     WatchEndpoints,
     /// Send a message of at most 256 bytes to all peers.
     Gossip(Vec<u8>),
+    /// Send a message of at most 256 bytes to one peer.
+    SendToPeer {
+        /// The peer.
+        peer: PeerId,
+        /// The message.
+        bytes: Vec<u8>,
+    },
     /// Deliver [`Event::Timer`](crate::api::Event::Timer) with this token at this time.
     WakeAt {
         /// When.
--- a/src/api/endpoint.rs
+++ b/src/api/endpoint.rs
@@ -2,9 +2,26 @@
 
 use super::ids::{Nanos, ReplicaId, ZoneId, SECOND};
 
-/// The longest backoff before the next poll of the endpoint list: half of the 6 s after which a router counts
-/// as notified. The other half is for a poll that was under way when the list came back, and for the answer.
-pub const MAX_LIST_POLL_DELAY: Nanos = 3 * SECOND;
+/// A router counts as notified of a change so long after it, whether it has heard of it or not.
+pub const NOTIFICATION_LIMIT: Nanos = 6 * SECOND;
+/// The shortest and the longest interval between two calls for the endpoint list. The longest is half of the time
+/// after which a router counts as notified: the other half is for a call that was under way when the list came
+/// back, and for the answer.
+const LIST_CALL_INTERVALS: (Nanos, Nanos) = (SECOND * 4 / 5, NOTIFICATION_LIMIT / 2);
+/// Routers of one fleet call so often together at the most; four fifths of an interval pass between two calls on
+/// the average. Refusing calls takes the list service time that it needs for answers.
+const FLEET_CALLS_PER_S: Nanos = 100;
+
+/// The interval at which one of so many routers calls for the endpoint list until it is answered, by how far `now` is
+/// from `notified_at`, when it counts as notified of the first change that it may have missed. The less time is
+/// left, the sooner it calls again; then it slows down as it sped up, since the changes behind the first one count
+/// a little later. An interval that grew with refusals instead would leave behind who was refused most often.
+pub fn list_call_interval(router_count: u32, now: Nanos, notified_at: Nanos) -> Nanos {
+    let (shortest, longest) = LIST_CALL_INTERVALS;
+    let of_the_fleet = Nanos::from(router_count) * SECOND * 5 / (4 * FLEET_CALLS_PER_S);
+    let distance = notified_at.abs_diff(now);
+    (distance / 3 * 2).clamp(of_the_fleet.clamp(shortest, longest), longest)
+}
 
 /// How the endpoint list comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +73,8 @@
     Full,
     /// The whole list as last held before a restart, perhaps old.
     Cached,
+    /// Changed entries only, by an order of this router's operators: it says nothing of whether the list is heard.
+    Override,
     /// A poll has failed, or the watch has ended. No entries.
     Failed,
 }
--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -4,28 +4,37 @@
 
 use super::outlier_ejection::FIRST_EJECTION;
 use super::{Balancer, LIST_POLL_TIMER};
-use crate::api::{Action, EndpointEntry, EndpointListMode, EndpointState, ListUpdate, Nanos};
+use crate::api::{
+    Action, EndpointEntry, EndpointListMode, EndpointState, ListUpdate, Nanos, NOTIFICATION_LIMIT, SECOND,
+};
 use crate::decode_rate::DecodeRate;
 
 /// The first poll comes within this share of the longest poll interval, drawn at random: all routers may have
 /// started together, and the list could not answer them at once.
 const FIRST_POLL_SHARE: f64 = 0.3;
+/// It comes within this time at the latest, as the list that a router starts with may be old.
+const MAX_FIRST_POLL_DELAY: Nanos = 2 * SECOND;
+
 impl Balancer {
     /// Time begins.
     pub(super) fn start_polling(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        self.list_polling.start(now);
         if let EndpointListMode::Polled { max_poll_interval } = self.settings.list_mode {
-            let jitter = FIRST_POLL_SHARE * self.rng.f64();
-            self.schedule_poll(now + (max_poll_interval as f64 * jitter) as Nanos, out);
+            let spread = (FIRST_POLL_SHARE * max_poll_interval as f64).min(MAX_FIRST_POLL_DELAY as f64);
+            let jitter = spread * self.rng.f64();
+            self.schedule_poll(now + jitter as Nanos, out);
         }
+        self.ask_for_drain_notices(now, out);
     }
 
     /// A poll is due: asks for the list unless it is watched by now.
     pub(super) fn poll_list(&mut self, now: Nanos, out: &mut Vec<Action>) {
         let EndpointListMode::Polled { max_poll_interval } = self.settings.list_mode else { return };
         if !self.list_polling.is_watched && now >= self.list_polling.next_poll_at {
+            self.list_polling.polled_at = now;
             out.push(Action::WatchEndpoints);
-            // The answer may be lost: polls again in good time.
-            self.schedule_poll(now + max_poll_interval / 2, out);
+            // The answer may be lost: polls again in good time, whatever interval the settings allow.
+            self.schedule_poll(now + (max_poll_interval / 2).min(NOTIFICATION_LIMIT / 2), out);
         }
     }
 
@@ -45,39 +54,51 @@
         if kind == ListUpdate::Failed {
             return self.handle_list_failure(now, out);
         }
-        if kind != ListUpdate::Cached {
-            self.list_polling.is_watched = true;
-            self.list_polling.failures = 0;
+        // An operator's order is no sign of the list: a router that has lost its watch has to go on polling.
+        let is_heard = matches!(kind, ListUpdate::Full | ListUpdate::Delta);
+        if is_heard {
+            self.withdraw_drain_notices();
         }
-        if kind != ListUpdate::Delta {
-            self.remove_unlisted(&entries);
+        if matches!(kind, ListUpdate::Full | ListUpdate::Cached) {
+            self.remove_unlisted(now, &entries, kind);
         }
         for entry in entries {
+            if is_heard {
+                self.note_drain(now, &entry);
+            }
+            if kind == ListUpdate::Override && self.stays_taken_out(&entry) {
+                continue;
+            }
             self.apply_entry(now, entry);
         }
-        if kind != ListUpdate::Cached {
-            self.list_polling.list_coverage.watch_began();
+        if is_heard {
+            self.list_polling.heard();
         }
         self.statistics.begin_ready_replicas(self.replicas.ready().len());
     }
 
-    /// Either a poll has failed or the watch has ended, which is not told apart: polls again, after a longer
-    /// backoff each time.
+    /// Either a poll has failed or the watch has ended, which is not told apart: polls again, the sooner the
+    /// less time is left until the router counts as notified of what it has missed.
     fn handle_list_failure(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        self.list_polling.list_coverage.watch_ended(now);
-        if let EndpointListMode::Polled { max_poll_interval } = self.settings.list_mode {
-            let backoff = self.list_polling.backoff(max_poll_interval) * (0.5 + 0.5 * self.rng.f64());
-            self.schedule_poll(now + backoff as Nanos, out);
+        self.list_polling.failed(now);
+        if let EndpointListMode::Polled { .. } = self.settings.list_mode {
+            let interval = self.list_polling.interval(now, self.settings.router_count);
+            let at = self.list_polling.poll_after_failure(now, interval, self.rng.f64());
+            self.schedule_poll(at, out);
         }
+        self.ask_for_drain_notices(now, out);
     }
 
     /// A replica that is not in a whole list is gone.
-    fn remove_unlisted(&mut self, entries: &[EndpointEntry]) {
+    fn remove_unlisted(&mut self, now: Nanos, entries: &[EndpointEntry], kind: ListUpdate) {
         let listed: FxHashSet<_> = entries.iter().map(|entry| entry.replica).collect();
         for slot in 0..self.replicas.len() {
             let entry = &self.replicas[slot].entry;
             if !listed.contains(&entry.replica) {
                 let gone = EndpointEntry { state: EndpointState::Gone, ..entry.clone() };
+                if kind == ListUpdate::Full {
+                    self.note_drain(now, &gone);
+                }
                 self.replicas.set_entry(slot, gone, self.settings.zone);
             }
         }
--- a/src/decisions/list_polling.rs
+++ b/src/decisions/list_polling.rs
@@ -1,20 +1,23 @@
-//! The state of the polls for the endpoint list, and their backoff.
+//! The state of the polls for the endpoint list, and when the next one is due.
 
-use crate::api::{Nanos, MAX_LIST_POLL_DELAY};
+use crate::api::{list_call_interval, Nanos, NOTIFICATION_LIMIT, SECOND};
 use crate::start_time::ListCoverage;
 
-/// Each failure in a row adds this share of the longest poll interval to the backoff.
-const BACKOFF_SHARE: f64 = 0.1;
-/// So many failures are counted.
-const MAX_FAILURES: u32 = 4;
+/// A watch that is lost may have been silent for so long before.
+const MAX_UNDETECTED_SILENCE: Nanos = 3 * SECOND;
+
+/// So much of an interval between polls is drawn at random.
+const SPREAD: f64 = 0.4;
 
 /// The watch on the endpoint list, and the polls for it.
 #[derive(Default)]
 pub(super) struct ListPolling {
     /// Changes follow the last list.
     pub(super) is_watched: bool,
-    /// Failures since the last list.
-    pub(super) failures: u32,
+    /// Since when changes may have been missed, if the list is not watched.
+    unheard_since: Nanos,
+    /// When the list was last polled; 0 before the first poll.
+    pub(super) polled_at: Nanos,
     /// The next poll is due then.
     pub(super) next_poll_at: Nanos,
     /// Until when the list is known to have been complete.
@@ -22,16 +25,43 @@
 }
 
 impl ListPolling {
+    /// The router starts with a list that may be old.
+    pub(super) fn start(&mut self, now: Nanos) {
+        self.unheard_since = now;
+    }
+
+    /// The list has been heard, and is watched from here on.
+    pub(super) fn heard(&mut self) {
+        self.is_watched = true;
+        self.list_coverage.watch_began();
+    }
+
+    /// The watch has ended, or a poll has failed.
+    pub(super) fn failed(&mut self, now: Nanos) {
+        self.list_coverage.watch_ended(now);
+        if std::mem::take(&mut self.is_watched) {
+            self.unheard_since = now.saturating_sub(MAX_UNDETECTED_SILENCE);
+        }
+    }
+
     /// When a replica started, as far as the time in its entry can be believed.
     pub(super) fn believed_start(&self, now: Nanos, started_at: Nanos) -> Nanos {
         self.list_coverage.plausible_start(now, started_at)
     }
 
-    /// The backoff after another failure, ns, before jitter.
-    pub(super) fn backoff(&mut self, max_poll_interval: Nanos) -> f64 {
-        self.is_watched = false;
-        self.failures = (self.failures + 1).min(MAX_FAILURES);
-        let backoff = max_poll_interval as f64 * BACKOFF_SHARE * f64::from(self.failures);
-        backoff.min(MAX_LIST_POLL_DELAY as f64)
+    /// The interval between polls, for one of so many routers.
+    pub(super) fn interval(&self, now: Nanos, router_count: u32) -> Nanos {
+        let notified_at = self.unheard_since.saturating_add(NOTIFICATION_LIMIT);
+        list_call_interval(router_count, now, notified_at)
+    }
+
+    /// When to poll after a failed poll, or the end of a watch, at `now`. The interval runs from the last
+    /// poll, so that one which took long to fail is followed soon; `random`, from 0 to 1, keeps routers apart
+    /// that fail together.
+    pub(super) fn poll_after_failure(&self, now: Nanos, interval: Nanos, random: f64) -> Nanos {
+        let spread = interval as f64 * SPREAD * random;
+        let least = interval as f64 * (1.0 - SPREAD);
+        let from_last_poll = self.polled_at.saturating_add((least + spread) as Nanos);
+        from_last_poll.max(now.saturating_add(spread as Nanos))
     }
 }
--- a/src/decisions/load_reports.rs
+++ b/src/decisions/load_reports.rs
@@ -64,10 +64,9 @@
         }
     }
 
-    /// A message from a peer. One that is no report of this deployment's tenants is skipped.
+    /// A report from a peer. One that is no report of this deployment's tenants is skipped.
     pub(super) fn apply_peer_report(&mut self, now: Nanos, from: PeerId, bytes: &[u8]) {
-        let is_peer = from != self.settings.own_index && from.0 < self.settings.router_count;
-        if !is_peer || self.settings.tenants.is_empty() {
+        if self.settings.tenants.is_empty() {
             return;
         }
         let Ok(report) = served_report::decode(self.settings.digest, bytes) else { return };
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,11 +17,13 @@
 //! | `outlier_ejection` | which replicas are left out because they fail |
 //! | `load_reports` | what peers are told of served requests, and what their reports change |
 //! | `endpoint_list` | which replicas there are, and when the list is polled |
+//! | `drain_notices` | what routers tell each other of replicas that take nothing new |
 //!
 //! `request_lifecycle` takes a request through them, from its arrival to the end of its last attempt. All of
 //! these extend [`Balancer`]. What they decide with are values that know nothing of it: `leaky_bucket`,
-//! `retry_budget`, `candidate`, `attempt_checks`, `list_polling`, `report_period`, and the state of replicas
-//! and requests in `src/state/`. `tests/decision_imports.rs` holds that imports run one way.
+//! `retry_budget`, `candidate`, `attempt_checks`, `list_polling`, `known_drains`, `report_period`, and the
+//! state of replicas and requests in `src/state/`. `tests/decision_imports.rs` holds that imports run one
+//! way.
 //!
 //! The rules that the comments number: 1, each request gets exactly one final answer, by its deadline; 2,
 //! nothing is repeated or rejected that could take effect twice; 3, only ready replicas get anything new; 4,
@@ -31,7 +33,9 @@
 mod affinity;
 mod attempt_checks;
 mod candidate;
+mod drain_notices;
 mod endpoint_list;
+mod known_drains;
 mod leaky_bucket;
 mod list_polling;
 mod load_reports;
@@ -47,13 +51,15 @@
 use fastrand::Rng;
 use rustc_hash::FxHashMap;
 
-use crate::api::{Action, Event, Nanos, Outcome, RequestId, Settings, SettingsError};
+use crate::api::{Action, Event, Nanos, Outcome, PeerId, RequestId, Settings, SettingsError};
+use crate::drain_notice::DrainMessage;
 use crate::state::affinity::AffinityState;
 use crate::state::replica_statistics::ReplicaStatistics;
 use crate::state::replica_table::ReplicaTable;
 use crate::state::request::RequestState;
 use attempt_checks::AttemptChecks;
 use candidate::Candidate;
+use known_drains::KnownDrains;
 use leaky_bucket::LeakyBucket;
 use list_polling::ListPolling;
 use report_period::ReportPeriod;
@@ -65,6 +71,8 @@
 const LIST_POLL_TIMER: u64 = 2;
 /// Token of the timers for attempts without a first token.
 const ATTEMPT_CHECK_TIMER: u64 = 3;
+/// Token of the timer for queries about drains.
+const DRAIN_QUERY_TIMER: u64 = 4;
 
 /// The decisions of one router.
 pub struct Balancer {
@@ -84,6 +92,7 @@
     attempt_checks: AttemptChecks,
     report_period: ReportPeriod,
     list_polling: ListPolling,
+    known_drains: KnownDrains,
 }
 
 impl Balancer {
@@ -108,6 +117,7 @@
             attempt_checks: AttemptChecks::default(),
             report_period: ReportPeriod::new(settings.router_count),
             list_polling: ListPolling::default(),
+            known_drains: KnownDrains::new(seed),
             settings,
         })
     }
@@ -128,15 +138,25 @@
             Event::Timer(REPORT_TIMER) => self.end_report_period(now, out),
             Event::Timer(LIST_POLL_TIMER) => self.poll_list(now, out),
             Event::Timer(ATTEMPT_CHECK_TIMER) => self.check_attempts(now, out),
+            Event::Timer(DRAIN_QUERY_TIMER) => self.send_drain_queries(now, out),
             Event::Timer(_) => {}
             Event::ProbeEnded { replica, outcome, load } => match self.replicas.slot_of(replica) {
                 Some(slot) if outcome == Outcome::Completed => self.record_load_report(now, slot, &load),
                 _ => {}
             },
+            Event::PeerMessage { from, bytes } if !self.is_peer(from) => drop((from, bytes)),
+            Event::PeerMessage { from, bytes } if DrainMessage::is_one(&bytes) => {
+                self.handle_drain_message(now, from, &bytes, out);
+            }
             Event::PeerMessage { from, bytes } => self.apply_peer_report(now, from, &bytes),
         }
     }
 
+    /// Whether a message may be from this sender.
+    fn is_peer(&self, from: PeerId) -> bool {
+        from != self.settings.own_index && from.0 < self.settings.router_count
+    }
+
     /// The first event: time begins.
     fn start(&mut self, now: Nanos, out: &mut Vec<Action>) {
         self.started = true;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod decisions;
 pub mod decode_rate;
 pub mod deployment;
+pub mod drain_notice;
 pub mod effect;
 pub mod first_token_wait;
 mod linear_fit;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 //! writes it.
 
 pub(crate) mod affinity;
+pub(crate) mod recent_drains;
 pub(crate) mod replica;
 pub(crate) mod replica_statistics;
 pub(crate) mod replica_table;
--- a/test-support/src/list_trial/mod.rs
+++ b/test-support/src/list_trial/mod.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -149,9 +149,10 @@
     for (number, listener) in replicas.into_iter().enumerate() {
         spawn_local(run_replica(trial.clone(), number, listener));
     }
+    let place = Place { program, ip, dir: dir.path(), peers: free_udp_addresses(ip, plan.routers)?, rows };
     let mut routers = Vec::new();
     for number in 0..plan.routers {
-        routers.push(start_router(program, ip, dir.path(), &trial, number, &rows).await?);
+        routers.push(start_router(&place, &trial, number).await?);
     }
     for router in &mut routers {
         router.process.until_ready(READY).await?;
@@ -181,19 +182,29 @@
         "weight": 1.0, "started_ms": 0})
 }
 
-async fn start_router(
-    program: &Path,
-    ip: &str,
-    dir: &Path,
-    trial: &Rc<Trial>,
-    number: usize,
-    rows: &[Value],
-) -> io::Result<Router> {
+/// What all routers are started with.
+struct Place<'a> {
+    program: &'a Path,
+    ip: &'a str,
+    dir: &'a Path,
+    peers: Vec<SocketAddr>,
+    /// The list that they start with.
+    rows: Vec<Value>,
+}
+
+/// Addresses for datagrams that the routers are about to bind; nobody else has sockets on this IP.
+fn free_udp_addresses(ip: &str, count: usize) -> io::Result<Vec<SocketAddr>> {
+    let sockets: io::Result<Vec<UdpSocket>> = (0..count).map(|_| UdpSocket::bind((ip, 0))).collect();
+    sockets?.iter().map(UdpSocket::local_addr).collect()
+}
+
+async fn start_router(place: &Place<'_>, trial: &Rc<Trial>, number: usize) -> io::Result<Router> {
+    let Place { program, ip, dir, peers, rows } = place;
     let reserved = Reserved::on(ip)?;
     let list = trial.discovery.listen(ip, number).await?;
     let path = |kind: &str| dir.join(format!("n{number}.{kind}"));
     let (config, settings, log) = (path("json"), path("conf"), path("log"));
-    std::fs::write(&config, trial.plan.configuration(number, reserved.at, list, rows).to_string())?;
+    std::fs::write(&config, trial.plan.configuration(number, reserved.at, list, peers, rows).to_string())?;
     std::fs::write(&settings, SETTINGS)?;
     let process = start_process(program, &config, &settings, &log, reserved.at)?;
     let started_at = trial.began.elapsed();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -100,6 +100,8 @@
     pub requests: BTreeMap<RequestId, TrackedRequest>,
     pub timers: Vec<(Nanos, u64)>,
     pub gossip: Vec<Vec<u8>>,
+    /// Messages to one other router.
+    pub peer_messages: Vec<(PeerId, Vec<u8>)>,
     pub list_polls: u32,
     pub actions: Vec<Action>,
 }
@@ -114,6 +116,7 @@
             requests: BTreeMap::new(),
             timers: vec![],
             gossip: vec![],
+            peer_messages: vec![],
             list_polls: 0,
             actions: vec![],
         }
@@ -223,6 +226,11 @@
                 assert!(bytes.len() <= 256 && self.settings.has_peers);
                 self.gossip.push(bytes.clone());
             }
+            Action::SendToPeer { peer, bytes } => {
+                assert!(bytes.len() <= 256 && self.settings.has_peers);
+                assert!(*peer != self.settings.own_index && peer.0 < self.settings.router_count);
+                self.peer_messages.push((*peer, bytes.clone()));
+            }
             Action::WakeAt { at, token } => {
                 assert!(*at >= self.now);
                 self.timers.push((*at, *token));
--- a/tests/common/played.rs
+++ b/tests/common/played.rs
@@ -215,6 +215,7 @@
                 self.later(20 * MS, Due::List(g, kind));
             }
             Action::Gossip(bytes) => self.told(g, &bytes),
+            Action::SendToPeer { peer, bytes } => self.told_one(g, peer.0, &bytes),
             Action::WakeAt { at, token } => self.later(at.saturating_sub(self.now), Due::Timer(g, token)),
         }
     }
@@ -245,6 +246,16 @@
         }
     }
 
+    /// A message reaches one other router, if that is one of those that are played.
+    fn told_one(&mut self, g: usize, peer: u32, bytes: &[u8]) {
+        let me = self.routers[g].me;
+        let to = self.routers.iter().position(|router| router.me == peer);
+        if let Some(to) = to.filter(|_| !self.draw.chance(30)) {
+            let after = (1 + self.draw.below(20)) * MS;
+            self.later(after, Due::Message(to, me, bytes.to_vec()));
+        }
+    }
+
     fn arrival(&mut self) {
         let rate = self.d.per_10_s * if self.phase() == 1 { 3 } else { 1 };
         let gap = 2 * self.draw.below(10 * SECOND / rate);
--- a/tests/common/trace_text.rs
+++ b/tests/common/trace_text.rs
@@ -48,6 +48,10 @@
             Action::Probe(replica) => ("probe", replica.0.to_string()),
             Action::WatchEndpoints => ("watch", String::new()),
             Action::Gossip(bytes) => ("tell", bytes.iter().map(|b| format!("{b:02x}")).collect()),
+            Action::SendToPeer { peer, bytes } => {
+                let text: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
+                ("tell one", format!("{} {text}", peer.0))
+            }
             Action::WakeAt { at: when, token } => ("wake", format!("{when} token {token}")),
         };
         *self.counts.entry(kind).or_default() += 1;
--- a/tests/list_polling.rs
+++ b/tests/list_polling.rs
@@ -32,3 +32,68 @@
         assert!(w.list_polls > before, "the subscription dropped: asked for again");
     }
 }
+
+fn polled(router_count: u32) -> Settings {
+    let mut set = settings(4, 0);
+    set.list_mode = EndpointListMode::Polled { max_poll_interval: 14 * SECOND };
+    (set.has_peers, set.router_count) = (false, router_count);
+    set
+}
+
+/// Polls are looked for so often.
+const STEP: Nanos = SECOND / 100;
+
+/// The times of polls that are all refused at once, since the start.
+fn refused_polls(router_count: u32, seed: u64, until: Nanos) -> Vec<Nanos> {
+    let mut world = World::new(polled(router_count), seed);
+    world.update_list(ListUpdate::Cached, vec![EndpointEntry::default()]);
+    let (start, mut polls) = (world.now, Vec::new());
+    while world.now < start + until {
+        let before = world.list_polls;
+        world.run_to(world.now + STEP);
+        if world.list_polls > before {
+            polls.push(world.now - start);
+            world.update_list(ListUpdate::Failed, vec![]);
+        }
+    }
+    polls
+}
+
+/// The incident of 2026-12-03: each refusal made the wait for the next call longer, up to 3 s when hardly as much was left.
+#[test]
+fn a_router_that_is_refused_calls_the_sooner_the_less_time_is_left() {
+    for seed in 0..50 {
+        let polls = refused_polls(20, seed, 20 * SECOND);
+        assert!(polls[0] <= 2 * SECOND + STEP, "the list it starts with may be old: {polls:?}");
+        for pair in polls.windows(2) {
+            let from_limit = pair[0].abs_diff(NOTIFICATION_LIMIT);
+            let most = (from_limit * 2 / 3).clamp(SECOND * 4 / 5, 3 * SECOND);
+            assert!((most * 3 / 5 - STEP..=most + 2 * STEP).contains(&(pair[1] - pair[0])), "{polls:?}");
+        }
+        let around = polls.iter().filter(|at| at.abs_diff(NOTIFICATION_LIMIT) <= SECOND);
+        assert!(around.count() >= 2, "some shortly before and behind the limit: {polls:?}");
+    }
+}
+
+/// Refusing calls takes the service time: hundreds of routers must not hinder it by haste.
+#[test]
+fn routers_of_a_fleet_call_no_more_often_together_however_many_they_are() {
+    for router_count in [50, 100, 200] {
+        let calls: usize = (0..u64::from(router_count))
+            .map(|seed| refused_polls(router_count, seed, 6 * SECOND).len())
+            .sum();
+        assert!(calls <= 6 * 110, "{calls} calls of {router_count} routers in 6 s");
+    }
+}
+
+/// Guards against a router that takes an operator's order for a sign of the list, and never calls for it again.
+#[test]
+fn an_operators_order_is_no_sign_of_the_list() {
+    let mut world = World::with_replicas(polled(1), 1, 3);
+    let row = vec![row(0)];
+    world.update_list(ListUpdate::Failed, vec![]);
+    world.update_list(ListUpdate::Override, row);
+    let before = world.list_polls;
+    world.run_to(world.now + 4 * SECOND);
+    assert!(world.list_polls > before, "the lost watch is asked for");
+}
