Show that the trial blames the router for requests that it could not read

Nothing told when the process had been held up.

Change: the library says when it holds the program up, the trial notes when it stops it by a signal, and the history of a broken rule has both.

--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -137,6 +137,24 @@
     assert_eq!(soak(201..205, byte_by_byte(&library)), 0, "trials in which a rule was broken");
 }
 
+/// Seed 104 of the trials above, once: a replica was told 1.199 s by a router that had been told 1.2 s some 0.22 s before.
+/// The router had been held up before a write and, while it still was, by a signal: it read the request when the second
+/// pause ended, and no program can know how long a request has lain unread. The trial allowed for one pause of 0.15 s.
+#[test]
+fn what_lay_unread_while_the_router_was_held_up_is_not_its_fault() {
+    let dir = tempfile::tempdir().unwrap();
+    let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
+    let mut plan = Plan::hanging_replicas(2);
+    plan.shim = Some(Shim { holds: 1000, ..no_faults(&library) });
+    // The first write after it is held up too: the pause before a write comes once a second, first at the first request.
+    plan.stops = vec![(Duration::from_millis(550), Duration::from_millis(300))];
+    plan.replicas.iter_mut().for_each(|replica| replica.hangs_after = None);
+    let report = play("127.2.9.2", &plan);
+    assert!(report.longest_pause > Duration::from_millis(280), "no two pauses in a row: {report:?}");
+    assert!(report.on_time, "times were not judged: {report:?}");
+    assert_kept(&report);
+}
+
 /// `TALLYPIN_SOAK=100..150 cargo test --release -p tallypin-router --test soak -- --ignored --nocapture`
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
--- a/test-support/shim/faults.c
+++ b/test-support/shim/faults.c
@@ -4,7 +4,8 @@
  * many writes in a thousand to connections that the program opened find it held up for 0.15 s just before; FAULT_STEP_S and
  * FAULT_STEP_AT_MS, the wall clock is stepped by so much, so long after the start.
  * Connections that the program opened may also break; those that it accepted never do, as their other end would not know.
- * At exit it tells on standard error how many calls it had fail and how many it cut short. */
+ * It tells on standard error of each time that it held the program up, in nanoseconds of the monotonic clock, and at exit how
+ * many calls it had fail and how many it cut short. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -112,6 +113,12 @@
     return FAILS(EINTR, EINTR, ENOMEM, ENOBUFS);
 }
 
+static long long monotonic_ns(void) {
+    struct timespec now;
+    REAL(clock_gettime)(CLOCK_MONOTONIC, &now);
+    return now.tv_sec * 1000000000LL + now.tv_nsec;
+}
+
 static long long ms_since_start(void) {
     struct timespec now;
     REAL(clock_gettime)(CLOCK_MONOTONIC, &now);
@@ -126,7 +133,9 @@
         return;
     struct timespec time = {0, 150 * 1000 * 1000};
     atomic_fetch_add(&held, 1);
+    long long from = monotonic_ns();
     nanosleep(&time, NULL);
+    fprintf(stderr, "faults: held up from %lld to %lld\n", from, monotonic_ns());
     atomic_store(&again_at, ms_since_start() + 1000);
 }
 
--- a/test-support/src/trial/mod.rs
+++ b/test-support/src/trial/mod.rs
@@ -3,6 +3,7 @@
 //! the rules. A [`Plan`] says what happens; most are drawn by a seed, so that a trial can be played again.
 
 mod client;
+mod pauses;
 mod plan;
 mod process;
 mod replica;
@@ -23,6 +24,7 @@
 pub use verdict::{Break, Rule};
 
 use crate::park::{List, Reserved};
+use pauses::{Pause, Pauses};
 use process::Router;
 
 /// The harness is on time if it is never later than this; else rules about times are not judged.
@@ -47,6 +49,8 @@
     pub given_up_late: usize,
     /// Requests that were open when the router was killed.
     pub killed: usize,
+    /// The longest time in which the router was held up.
+    pub longest_pause: Duration,
     /// The harness was late by so much at the most.
     pub late: Duration,
     /// Whether rules about times were judged.
@@ -61,6 +65,8 @@
     plan: Plan,
     began: Instant,
     front: SocketAddr,
+    /// The monotonic clock of the system at that moment.
+    began_at: Duration,
     /// Clients begin no further request.
     over: Cell<bool>,
     /// When the router was ready.
@@ -68,6 +74,8 @@
     /// Seconds since the start, once the signals were sent.
     told: Cell<Option<Duration>>,
     killed: Cell<Option<Duration>>,
+    /// When the router was stopped by a signal.
+    stopped: RefCell<Vec<Pause>>,
     tries: RefCell<Vec<Try>>,
     received: RefCell<Vec<Received>>,
     /// The replicas that are down, and word of each that goes down.
@@ -104,6 +112,12 @@
     }
 }
 
+/// The system's monotonic clock, by which the router's process tells of its pauses.
+fn monotonic() -> Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    Duration::new(now.tv_sec.unsigned_abs(), now.tv_nsec as u32)
+}
+
 /// Plays a plan with this program on addresses of this IP.
 pub fn play(program: &Path, ip: &str, plan: &Plan) -> std::io::Result<Report> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -116,11 +130,13 @@
     let trial = Rc::new(Trial {
         plan: plan.clone(),
         began: Instant::now(),
+        began_at: monotonic(),
         front: reserved.at,
         over: Cell::new(false),
         ready: Cell::new(Duration::ZERO),
         told: Cell::new(None),
         killed: Cell::new(None),
+        stopped: RefCell::default(),
         tries: RefCell::default(),
         received: RefCell::default(),
         down: RefCell::new(vec![false; plan.replicas.len()]),
@@ -165,6 +181,7 @@
     for status in tries.iter().filter_map(|t| t.ending.status()) {
         *statuses.entry(status).or_default() += 1;
     }
+    let logged = std::fs::read_to_string(&log).unwrap_or_default();
     let seen = verdict::Seen {
         plan,
         tries: &tries,
@@ -173,7 +190,8 @@
         killed: trial.killed.get(),
         left: &trial.left.borrow(),
         exit,
-        log: &std::fs::read_to_string(&log).unwrap_or_default(),
+        pauses: Pauses::of(&trial.stopped.borrow(), &logged, trial.began_at),
+        log: &logged,
         on_time,
     };
     let late_from = seen.told + verdict::OWED_AFTER;
@@ -185,6 +203,7 @@
         received: received.iter().filter(|r| r.whole_at.is_some()).count(),
         statuses,
         killed: tries.iter().filter(|t| t.ending == Ending::Open).count(),
+        longest_pause: seen.pauses.iter().map(Pause::length).max().unwrap_or_default(),
         late: late.get(),
         on_time,
         log,
--- a/test-support/src/trial/process.rs
+++ b/test-support/src/trial/process.rs
@@ -9,6 +9,7 @@
 
 use tokio::time::{sleep, Instant};
 
+use super::pauses::Pause;
 use super::plan::Shim;
 use super::Trial;
 use crate::router_process::RouterProcess;
@@ -80,6 +81,7 @@
         trial.told.set(Some(trial.now()));
         self.process.signal("-TERM")?;
         let told = Instant::now();
+        let mut stopped_at = None;
         for (after, name) in orders {
             if let Some(status) = self.wait_until(told + after).await? {
                 return Ok(Exit::Itself(status));
@@ -87,7 +89,13 @@
             if name == "-HUP" && plan.reloads {
                 self.change_configuration(trial)?;
             }
+            let sent = trial.now();
             self.process.signal(name)?;
+            match name {
+                "-STOP" => stopped_at = Some(stopped_at.unwrap_or(sent)),
+                "-CONT" => note_pause(trial, stopped_at.take()),
+                _ => {}
+            }
         }
         if let Some(status) = self.wait_until(told + kill_after).await? {
             return Ok(Exit::Itself(status));
@@ -117,6 +125,12 @@
     }
 }
 
+/// Notes that the process goes on, which had been stopped at this time.
+fn note_pause(trial: &Trial, stopped_at: Option<Duration>) {
+    let pause = stopped_at.map(|from| Pause { from, to: trial.now() });
+    trial.stopped.borrow_mut().extend(pause);
+}
+
 /// Has system calls of the process fail as the shim says.
 fn preload(command: &mut Command, seed: u64, shim: &Shim) {
     command.env("LD_PRELOAD", &shim.library);
--- a/test-support/src/trial/verdict.rs
+++ b/test-support/src/trial/verdict.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::client::{Ending, Try};
+use super::pauses::{Pause, Pauses};
 use super::plan::{Effect, Group, Plan};
 use super::process::Exit;
 use super::replica::{Received, ReplicaEnd};
@@ -75,6 +76,7 @@
     pub killed: Option<Duration>,
     pub left: &'a BTreeMap<usize, Duration>,
     pub exit: Exit,
+    pub pauses: Pauses,
     pub log: &'a str,
     pub on_time: bool,
 }
@@ -262,6 +264,8 @@
             ));
         }
         lines.push(format!(" killed {}", maybe(self.killed)));
+        let pause = |pause: &Pause| format!(" held up from {} to {}", at(pause.from), at(pause.to));
+        lines.extend(self.pauses.iter().map(pause));
         lines.extend(self.log_of(request.id));
         // What it knew of the list may explain where it sent.
         let left =
