Judge told waits and repeats in the trials by the pauses that took place

Cause: the trial allowed for one pause of 0.15 s before each look or write, also where none was; a hold that a stop by a signal prolonged was longer, and the router was blamed for what lay unread in it.

Change: told waits may exceed by 0.15 s as before, or by the pause in which the request came and the one before the write. What is sent after a client left is allowed only the pauses that took place, which is stricter: 0.15 s more was allowed in every trial with holds. A repeat's window is prolonged by what a pause before its write has above 0.15 s. No other check changes.

--- a/test-support/src/trial/pauses.rs
+++ b/test-support/src/trial/pauses.rs
@@ -40,6 +40,22 @@
         Pauses(merged)
     }
 
+    /// For how long the process could not notice what came at `came`, before it wrote at `written`: the rest of a pause in
+    /// which it came, and a pause just before the write.
+    pub fn unnoticed(&self, came: Duration, written: Duration) -> Duration {
+        let at_its_coming = |pause: &&Pause| pause.from <= came + NEAR && came < pause.to;
+        let rest = |pause: &Pause| pause.to.min(written).saturating_sub(came);
+        let unread = self.0.iter().find(at_its_coming).map(rest);
+        unread.unwrap_or_default() + self.before_write(came, written)
+    }
+
+    /// How long the pause was, begun after `came`, between a look of the process at its clock and a write at `written`.
+    pub fn before_write(&self, came: Duration, written: Duration) -> Duration {
+        let before =
+            |pause: &&Pause| pause.from > came + NEAR && pause.from < written && written < pause.to + NEAR;
+        self.0.iter().find(before).map(|pause| pause.to.min(written) - pause.from).unwrap_or_default()
+    }
+
     /// The pauses, for the history of a broken rule.
     pub fn iter(&self) -> impl Iterator<Item = &Pause> {
         self.0.iter()
--- a/test-support/src/trial/verdict.rs
+++ b/test-support/src/trial/verdict.rs
@@ -20,8 +20,8 @@
 pub(super) const LATE: Duration = Duration::from_millis(500);
 /// An attempt may begin so long after its client has left.
 const AFTER_LEAVING: Duration = Duration::from_millis(100);
-/// The process may be held up for so long between a look at its clock and a write.
-const HOLD: Duration = Duration::from_millis(150);
+/// A repeat leaves so much of its window to the time between a look at the clock and the write.
+const LEFT_FOR_WRITES: Duration = Duration::from_millis(150);
 /// What is told to a replica may be so much more than what is left to the client.
 const TOLD_SLACK: Duration = Duration::from_millis(150);
 /// What SIGKILL finds unanswered is lost if it came later than this after SIGTERM.
@@ -183,7 +183,8 @@
             let two = !self.plan.parallel && request.received[..n].iter().any(overlaps);
             rules.extend((two && self.on_time).then_some(Rule::TwoAtOnce));
             let left = request.tries.iter().find(|t| t.ending == Ending::Left).and_then(|t| t.ended);
-            let after = left.is_some_and(|left| later.at > left + AFTER_LEAVING + self.held_before_write());
+            let after = left
+                .is_some_and(|left| later.at > left + AFTER_LEAVING + self.pauses.unnoticed(left, later.at));
             rules.extend((after && self.on_time).then_some(Rule::SentAfterLeaving));
             rules.extend((self.on_time && self.told_too_much(request, later)).then_some(Rule::WaitTold));
             rules.extend((self.on_time && self.left_before(later)).then_some(Rule::SentToLeaving));
@@ -191,16 +192,6 @@
         rules
     }
 
-    /// A process that is held up just before a write cannot know of what comes meanwhile.
-    fn held_before_write(&self) -> Duration {
-        let holds = self.plan.shim.as_ref().is_some_and(|shim| shim.holds > 0);
-        if holds {
-            HOLD
-        } else {
-            Duration::ZERO
-        }
-    }
-
     /// Whether an attempt went to a replica long after the list had told that it leaves.
     fn left_before(&self, attempt: &Received) -> bool {
         let told = match (&self.plan.shim, self.plan.outage) {
@@ -222,15 +213,18 @@
                     Group::Zone => one.zone == other.zone,
                     Group::Cell => one.cell == other.cell,
                 };
-                !same || later.whole_at > Some(earlier.at + window + SLACK)
+                let paused = self.pauses.before_write(earlier.at, later.at).saturating_sub(LEFT_FOR_WRITES);
+                !same || later.whole_at > Some(earlier.at + window + paused + SLACK)
             }
         }
     }
 
     fn told_too_much(&self, request: &Request, attempt: &Received) -> bool {
         let Some(told) = attempt.told_ms.map(Duration::from_millis) else { return false };
-        let try_of = request.tries.iter().rfind(|t| t.begun <= attempt.at);
-        try_of.is_some_and(|t| attempt.at + told > t.begun + t.class.wait + TOLD_SLACK + SLACK)
+        let Some(of) = request.tries.iter().rfind(|t| t.begun <= attempt.at) else { return false };
+        // Of what lay unread while the process was held up, it cannot know for how long it lay.
+        let slack = TOLD_SLACK.max(self.pauses.unnoticed(of.begun, attempt.at)) + SLACK;
+        attempt.at + told > of.begun + of.class.wait + slack
     }
 
     /// All that is known of a request; times from SIGTERM on.
