Let trials share the faults of calls on sockets

Cause: only the trials of one router could have system calls fail; the trials of the endpoint list are to have the same. Change: the settings of the fault library and how a process gets them move from the trial's plan to the library's module. Nothing else changes.

--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use tallypin_test_support::shim::Library;
-use tallypin_test_support::trial::{self, Plan, Report, Shim};
+use tallypin_test_support::shim::{Library, SocketFaults};
+use tallypin_test_support::trial::{self, Plan, Report};
 
 /// Another build of the program may be played, at this path.
 const PROGRAM: &str = "TALLYPIN_PROGRAM";
@@ -89,20 +89,14 @@
 /// The wall clock is stepped by one of these, in seconds.
 const STEPS: [i64; 5] = [-3600, -7, 0, 7, 3600];
 
-/// No faults, by this library.
-fn no_faults(library: &Path) -> Shim {
-    let step = (0, Duration::ZERO);
-    Shim { library: library.into(), failures: 0, short: 0, short_most: 64, first: 0, holds: 0, step }
-}
-
 /// Has system calls of the program fail, writes held up, and the wall clock stepped.
 fn with_faults(library: &Path) -> impl Fn(&mut Plan) + Sync {
-    let none = no_faults(library);
+    let none = SocketFaults::none(library);
     move |plan| {
         let step = STEPS[plan.seed as usize % STEPS.len()];
         // Some before the program has looked at its clock, some in a shutdown.
         let at = Duration::from_millis(plan.seed * 397 % 2_000);
-        plan.shim = Some(Shim {
+        plan.shim = Some(SocketFaults {
             failures: FAILURES,
             short: SHORT,
             first: FIRST,
@@ -115,7 +109,7 @@
 
 /// Reads and writes carry one byte each.
 fn byte_by_byte(library: &Path) -> impl Fn(&mut Plan) + Sync {
-    let shim = Shim { short: 1000, short_most: 1, ..no_faults(library) };
+    let shim = SocketFaults { short: 1000, short_most: 1, ..SocketFaults::none(library) };
     move |plan| {
         plan.shim = Some(shim.clone());
         // A call for each byte: more than a few requests at once would want more than a processor.
@@ -145,7 +139,7 @@
     let dir = tempfile::tempdir().unwrap();
     let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
     let mut plan = Plan::hanging_replicas(2);
-    plan.shim = Some(Shim { holds: 1000, ..no_faults(&library) });
+    plan.shim = Some(SocketFaults { holds: 1000, ..SocketFaults::none(&library) });
     // The first write after it is held up too: the pause before a write comes once a second, first at the first request.
     plan.stops = vec![(Duration::from_millis(550), Duration::from_millis(300))];
     plan.replicas.iter_mut().for_each(|replica| replica.hangs_after = None);
--- a/test-support/src/shim.rs
+++ b/test-support/src/shim.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::time::Duration;
 
 /// Such a library.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,3 +43,52 @@
         }
     }
 }
+
+/// Faults of the calls on sockets of a process, and how often each comes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SocketFaults {
+    /// The compiled [`Library::Sockets`].
+    pub library: PathBuf,
+    /// How many calls in a thousand fail for a moment.
+    pub failures: u32,
+    /// How many reads and writes in a thousand carry a part only.
+    pub short: u32,
+    /// The most bytes that these carry.
+    pub short_most: u32,
+    /// How many sockets cannot be had at first.
+    pub first: u32,
+    /// How many writes to replicas in a thousand find the process held up for 0.15 s just before.
+    pub holds: u32,
+    /// The wall clock is stepped by so many seconds, so long after the start.
+    pub step: (i64, Duration),
+}
+
+impl SocketFaults {
+    /// No faults.
+    pub fn none(library: &Path) -> SocketFaults {
+        let step = (0, Duration::ZERO);
+        SocketFaults {
+            library: library.into(),
+            failures: 0,
+            short: 0,
+            short_most: 64,
+            first: 0,
+            holds: 0,
+            step,
+        }
+    }
+
+    /// Has the process that is about to start meet these faults, drawn by a seed.
+    pub fn preload(&self, command: &mut Command, seed: u64) {
+        let (step_s, step_at) = self.step;
+        command.env("LD_PRELOAD", &self.library);
+        command.env("FAULT_SEED", seed.to_string());
+        command.env("FAULT_FAILURES", self.failures.to_string());
+        command.env("FAULT_SHORT", self.short.to_string());
+        command.env("FAULT_SHORT_MOST", self.short_most.to_string());
+        command.env("FAULT_FIRST", self.first.to_string());
+        command.env("FAULT_HOLDS", self.holds.to_string());
+        command.env("FAULT_STEP_S", step_s.to_string());
+        command.env("FAULT_STEP_AT_MS", step_at.as_millis().to_string());
+    }
+}
--- a/test-support/src/trial/mod.rs
+++ b/test-support/src/trial/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 pub use client::{Ending, Try};
-pub use plan::{Behaviour, Change, ChangeKind, Class, Effect, Group, Plan, ReplicaPlan, Shim, Signal};
+pub use plan::{Behaviour, Change, ChangeKind, Class, Effect, Group, Plan, ReplicaPlan, Signal};
 pub use replica::{Received, ReplicaEnd};
 use tokio::sync::watch;
 use tokio::time::Instant;
--- a/test-support/src/trial/plan.rs
+++ b/test-support/src/trial/plan.rs
@@ -1,11 +1,12 @@
 //! What happens in a trial: settings, replicas, clients, signals and faults of system calls.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use serde_json::{json, Value};
 
+use crate::shim::SocketFaults;
+
 /// What repeating a request of a class does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -109,25 +110,6 @@
     pub after: Duration,
 }
 
-/// Faults of system calls: a library to preload, and how often each may fail, in a thousand.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Shim {
-    /// The library.
-    pub library: PathBuf,
-    /// How many calls in a thousand fail for a moment.
-    pub failures: u32,
-    /// How many reads and writes in a thousand carry a part only.
-    pub short: u32,
-    /// The most bytes that these carry.
-    pub short_most: u32,
-    /// How many sockets cannot be had at first.
-    pub first: u32,
-    /// How many writes to replicas in a thousand find the process held up for 0.15 s just before.
-    pub holds: u32,
-    /// The wall clock is stepped by so many seconds, so long after the start.
-    pub step: (i64, Duration),
-}
-
 /// What happens in a trial.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Plan {
@@ -168,7 +150,7 @@
     /// SIGKILL comes so much later than it may.
     pub grace: Duration,
     /// Faults of system calls.
-    pub shim: Option<Shim>,
+    pub shim: Option<SocketFaults>,
 }
 
 /// The longest wait that counts for the kill.
--- a/test-support/src/trial/process.rs
+++ b/test-support/src/trial/process.rs
@@ -3,14 +3,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Command, ExitStatus};
+use std::process::ExitStatus;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{sleep, Instant};
 
 use super::pauses::Pause;
-use super::plan::Shim;
 use super::Trial;
 use crate::router_process::RouterProcess;
 
@@ -52,7 +51,7 @@
         let process = RouterProcess::start(program, &config, &log, trial.front, |command| {
             command.arg("--settings").arg(&settings);
             if let Some(shim) = &trial.plan.shim {
-                preload(command, trial.plan.seed, shim);
+                shim.preload(command, trial.plan.seed);
             }
         })?;
         Ok(Router { process, log, config, lists, reloads: 0 })
@@ -130,16 +129,3 @@
     let pause = stopped_at.map(|from| Pause { from, to: trial.now() });
     trial.stopped.borrow_mut().extend(pause);
 }
-
-/// Has system calls of the process fail as the shim says.
-fn preload(command: &mut Command, seed: u64, shim: &Shim) {
-    command.env("LD_PRELOAD", &shim.library);
-    command.env("FAULT_SEED", seed.to_string());
-    command.env("FAULT_FAILURES", shim.failures.to_string());
-    command.env("FAULT_SHORT", shim.short.to_string());
-    command.env("FAULT_SHORT_MOST", shim.short_most.to_string());
-    command.env("FAULT_FIRST", shim.first.to_string());
-    command.env("FAULT_HOLDS", shim.holds.to_string());
-    command.env("FAULT_STEP_S", shim.step.0.to_string());
-    command.env("FAULT_STEP_AT_MS", shim.step.1.as_millis().to_string());
-}
