Play the seeds of all drawn trials by one runner

Cause: how seeds are asked for, played side by side, and another build named stood two and three times in the tests. Change: test-support has them once, as seeds; soak.rs, discovery_trials.rs and growth.rs use it. No check changes.

--- a/router/tests/discovery_trials.rs
+++ b/router/tests/discovery_trials.rs
@@ -2,19 +2,16 @@
 #![allow(missing_docs)]
 
 use std::ops::Range;
-use std::path::Path;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tallypin_test_support::list_trial::{self, Plan, Report};
+use tallypin_test_support::seeds;
 use tallypin_test_support::shim::{Library, SocketFaults};
 
-/// Another build of the program may be played, at this path.
-const PROGRAM: &str = "TALLYPIN_PROGRAM";
-
 fn play(ip: &str, plan: &Plan) -> Report {
-    let program = std::env::var_os(PROGRAM).unwrap_or_else(|| env!("CARGO_BIN_EXE_tallypin").into());
-    list_trial::play(Path::new(&program), ip, plan).expect("the trial can be played")
+    list_trial::play(&seeds::program(env!("CARGO_BIN_EXE_tallypin")), ip, plan)
+        .expect("the trial can be played")
 }
 
 fn tell(plan: &Plan, report: &Report) {
@@ -67,23 +64,16 @@
     assert_kept(&report);
 }
 
-/// The seeds that are played by hand are those of this variable, `FIRST..END`.
-const SEEDS: &str = "TALLYPIN_SOAK";
 /// So many trials run side by side.
 const AT_ONCE: u64 = 3;
 
 /// Plays the plans of these seeds on addresses of this net, which no other test uses, and tells of each; how many broke the
 /// rule, and how many could not be judged.
 fn soak(net: u8, seeds: Range<u64>, plan: impl Fn(u64) -> Plan + Sync) -> (usize, usize) {
-    let next = AtomicU64::new(seeds.start);
     let (broken, unjudged) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let one_after_the_other = &|lane: u64| loop {
-        let seed = next.fetch_add(1, Ordering::SeqCst);
-        if seed >= seeds.end {
-            return;
-        }
+    seeds::play_side_by_side(seeds, AT_ONCE, |lane, seed| {
         let plan = plan(seed);
-        let report = play(&format!("127.2.{net}.{}", lane + 1), &plan);
+        let report = play(&format!("127.2.{net}.{lane}"), &plan);
         tell(&plan, &report);
         if !report.on_time() {
             unjudged.fetch_add(1, Ordering::SeqCst);
@@ -91,11 +81,6 @@
             println!("seed {seed}: {plan:?}\n{late}");
             broken.fetch_add(1, Ordering::SeqCst);
         }
-    };
-    std::thread::scope(|scope| {
-        for lane in 0..AT_ONCE {
-            scope.spawn(move || one_after_the_other(lane));
-        }
     });
     (broken.into_inner(), unjudged.into_inner())
 }
@@ -108,17 +93,11 @@
     assert!(unjudged < 9, "the machine was too busy for any verdict");
 }
 
-fn seeds() -> Range<u64> {
-    let asked = std::env::var(SEEDS).unwrap_or_else(|_| "1000..1050".into());
-    let (first, end) = asked.split_once("..").expect("FIRST..END");
-    first.parse().expect("a number")..end.parse().expect("a number")
-}
-
 /// `TALLYPIN_SOAK=100..150 cargo test --release -p tallypin-router --test discovery_trials drawn -- --ignored --nocapture`
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn drawn_troubles_of_these_seeds_leave_no_router_without_notice() {
-    let (broken, unjudged) = soak(15, seeds(), Plan::drawn);
+    let (broken, unjudged) = soak(15, seeds::asked_for(), Plan::drawn);
     println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
     assert_eq!(broken, 0, "trials in which a draining replica was sent to");
 }
@@ -134,7 +113,7 @@
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn drawn_series_of_these_seeds_leave_no_router_without_notice() {
-    let (broken, unjudged) = soak(16, seeds(), Plan::drawn_series);
+    let (broken, unjudged) = soak(16, seeds::asked_for(), Plan::drawn_series);
     println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
     assert_eq!(broken, 0, "trials in which a draining replica was sent to");
 }
@@ -145,7 +124,7 @@
 fn drawn_series_under_failing_system_calls_leave_no_router_without_notice() {
     let dir = tempfile::tempdir().unwrap();
     let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
-    let (broken, unjudged) = soak(17, seeds(), |seed| Plan {
+    let (broken, unjudged) = soak(17, seeds::asked_for(), |seed| Plan {
         faults: Some(SocketFaults {
             failures: 20,
             short: 100,
@@ -162,7 +141,7 @@
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn crowded_restarts_of_these_seeds_leave_no_router_without_notice() {
-    let (broken, unjudged) = soak(18, seeds(), Plan::crowded_restart);
+    let (broken, unjudged) = soak(18, seeds::asked_for(), Plan::crowded_restart);
     println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
     assert_eq!(broken, 0, "trials in which a draining replica was sent to");
 }
--- a/router/tests/growth.rs
+++ b/router/tests/growth.rs
@@ -2,13 +2,11 @@
 //! set. `TALLYPIN_PROGRAM=target/release/tallypin cargo test -p tallypin-router --test growth -- --ignored --nocapture`.
 #![allow(missing_docs)]
 
-use std::path::Path;
 use std::time::Duration;
 
 use tallypin_test_support::growth::{self, Fleet, Usage};
+use tallypin_test_support::seeds;
 
-/// Another build of the program may be measured, at this path.
-const PROGRAM: &str = "TALLYPIN_PROGRAM";
 /// Of a fleet of the usual size.
 const REPLICAS: usize = 100;
 const ROUTERS: usize = 100;
@@ -17,10 +15,10 @@
 const MIB: f64 = KIB * KIB;
 
 fn measure(replicas: usize, routers: usize, span: Duration) -> Usage {
-    let program = std::env::var_os(PROGRAM).unwrap_or_else(|| env!("CARGO_BIN_EXE_tallypin").into());
+    let program = seeds::program(env!("CARGO_BIN_EXE_tallypin"));
     let fleet =
         Fleet { replicas, routers, requests_per_s: 35.0, span, change_every: Duration::from_millis(200) };
-    let used = growth::play(Path::new(&program), "127.2.11.1", fleet).expect("the fleet can be played");
+    let used = growth::play(&program, "127.2.11.1", fleet).expect("the fleet can be played");
     println!("{replicas} replicas, {routers} routers: {used:?}");
     used
 }
--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -2,19 +2,17 @@
 //! what clients and replicas saw.
 #![allow(missing_docs)]
 
+use std::ops::Range;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use tallypin_test_support::seeds;
 use tallypin_test_support::shim::{Library, SocketFaults};
 use tallypin_test_support::trial::{self, Plan, Report};
 
-/// Another build of the program may be played, at this path.
-const PROGRAM: &str = "TALLYPIN_PROGRAM";
-
 fn play(ip: &str, plan: &Plan) -> Report {
-    let program = std::env::var_os(PROGRAM).unwrap_or_else(|| env!("CARGO_BIN_EXE_tallypin").into());
-    trial::play(Path::new(&program), ip, plan).expect("the trial can be played")
+    trial::play(&seeds::program(env!("CARGO_BIN_EXE_tallypin")), ip, plan).expect("the trial can be played")
 }
 
 /// Fails with the histories of the requests whose rules were broken.
@@ -33,46 +31,38 @@
     assert_kept(&report);
 }
 
-/// The seeds that are played by hand are those of this variable, `FIRST..END`.
-const SEEDS: &str = "TALLYPIN_SOAK";
 /// So many trials run side by side.
 const AT_ONCE: u64 = 4;
 
 /// Plays plans drawn by these seeds; how many broke a rule, all told on standard output.
-fn soak(seeds: std::ops::Range<u64>, change: impl Fn(&mut Plan) + Sync) -> usize {
-    let next = AtomicU64::new(seeds.start);
+fn soak(seeds: Range<u64>, change: impl Fn(&mut Plan) + Sync) -> usize {
     let broken = AtomicUsize::new(0);
-    let one_after_the_other = &|lane: u64| loop {
-        let seed = next.fetch_add(1, Ordering::SeqCst);
-        if seed >= seeds.end {
-            return;
-        }
+    seeds::play_side_by_side(seeds, AT_ONCE, |lane, seed| {
         let mut plan = Plan::drawn(seed);
         change(&mut plan);
-        let report = play(&format!("127.2.10.{}", lane + 1), &plan);
-        println!(
-            "seed {seed}: {} requests, {} received, {} given up late, {} open at the kill, answers {:?}, late {:?}{}",
-            report.requests,
-            report.received,
-            report.given_up_late,
-            report.killed,
-            report.statuses,
-            report.late,
-            if report.on_time { "" } else { ", times not judged" },
-        );
-        for found in report.breaks.iter().take(3) {
-            println!("seed {seed}, {} breaks: {found}", report.breaks.len());
-        }
+        let report = play(&format!("127.2.10.{lane}"), &plan);
+        tell(seed, &report);
         broken.fetch_add(usize::from(!report.breaks.is_empty()), Ordering::SeqCst);
-    };
-    std::thread::scope(|s| {
-        for lane in 0..AT_ONCE {
-            s.spawn(move || one_after_the_other(lane));
-        }
     });
     broken.into_inner()
 }
 
+fn tell(seed: u64, report: &Report) {
+    println!(
+        "seed {seed}: {} requests, {} received, {} given up late, {} open at the kill, answers {:?}, late {:?}{}",
+        report.requests,
+        report.received,
+        report.given_up_late,
+        report.killed,
+        report.statuses,
+        report.late,
+        if report.on_time { "" } else { ", times not judged" },
+    );
+    for found in report.breaks.iter().take(3) {
+        println!("seed {seed}, {} breaks: {found}", report.breaks.len());
+    }
+}
+
 #[test]
 fn drawn_shutdowns_keep_the_rules() {
     assert_eq!(soak(1..25, |_| {}), 0, "trials in which a rule was broken");
@@ -153,9 +143,7 @@
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn shutdowns_of_these_seeds_keep_the_rules() {
-    let asked = std::env::var(SEEDS).unwrap_or_else(|_| "1000..1050".into());
-    let (first, end) = asked.split_once("..").expect("FIRST..END");
-    let seeds = first.parse().expect("a number")..end.parse().expect("a number");
+    let seeds = seeds::asked_for();
     let plain = soak(seeds.clone(), |_| {});
     let dir = tempfile::tempdir().unwrap();
     let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
--- a/test-support/src/lib.rs
+++ b/test-support/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod park;
 pub mod relay;
 pub mod router_process;
+pub mod seeds;
 pub mod shim;
 pub mod trial;
 mod wire;
