Wait for the agent's endpoint list before the router listens

Cause: where lists are pushed, what the agent has counts as notification from the first moment of a process; the router listened first, and until its agent answered it went by the list of its configuration.

A silent one is told of.

--- a/router/src/endpoint_list_state.rs
+++ b/router/src/endpoint_list_state.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::{watch, Notify};
+use tokio::time::timeout;
 
 /// What became of the calls for the endpoint list since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -29,6 +30,7 @@
     heard_at: Cell<Option<Instant>>,
     silence_limit: Duration,
     version: Cell<Option<u64>>,
+    first_applied: Notify,
     counts: Cell<WatchCounts>,
 }
 
@@ -42,6 +44,7 @@
             heard_at: Cell::new(None),
             silence_limit,
             version: Cell::new(None),
+            first_applied: Notify::new(),
             counts: Cell::default(),
         }
     }
@@ -73,7 +76,14 @@
 
     /// A message has been applied that leads to this version.
     pub fn applied(&self, version: u64) {
-        self.version.set(Some(version));
+        if self.version.replace(Some(version)).is_none() {
+            self.first_applied.notify_one();
+        }
+    }
+
+    /// Waits until a list has been applied, for so long at the most; false if none came. For one waiter.
+    pub async fn wait_for_first(&self, limit: Duration) -> bool {
+        self.version.get().is_some() || timeout(limit, self.first_applied.notified()).await.is_ok()
     }
 
     /// The version last applied since the start; `None` before the first.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use cli::{Command, Protocol};
+use tallypin::api::EndpointListMode;
 use tallypin_health::exit_code;
 use tallypin_router::checks::control::{Control, ToFleet};
 use tallypin_router::checks::{self, Board};
@@ -248,6 +249,7 @@
         }
         adopting = Some(SettingsReloader::new(installation, board.clone(), Some(log.clone())));
     }
+    wait_for_agent(&components).await;
     if let Some(front) = messages {
         let listener = bind::bind_with_retry(async || TcpListener::bind(front.listen).await).await?;
         tokio::task::spawn_local(front::serve(
@@ -275,6 +277,20 @@
     Ok(())
 }
 
+/// Where the list is pushed, what the agent has counts as notification from the first moment of a process: no client is served
+/// by the list of the configuration if the agent answers. One that is silent is not waited for any longer than that.
+async fn wait_for_agent(components: &Components) {
+    let list = &components.endpoint_list;
+    if list.deployment.decisions.list_mode != EndpointListMode::Pushed {
+        return;
+    }
+    let limit = list.limits.agent_response_timeout;
+    if !list.state.wait_for_first(limit).await {
+        tracing::warn!(target: "node_list", limit_ms = limit.as_millis() as u64,
+            "endpoint list agent silent at the start, serving by the configured list");
+    }
+}
+
 /// Orders from the socket to the fleet.
 fn to_fleet(fleet: Rc<FleetAgent>) -> ToFleet {
     Rc::new(move |words| {
