Say once what the repairs of the endpoint list said twice, and wait before checks

Cause: read over, the work on the endpoint list had pieces that stood twice, and the wait for the agent's list came after the listeners of health checks: balancers could be told that a router serves up to 0.25 s before clients could connect.

Change: the wait comes before the checks. Once in place of twice: when a watch was opened (the clock of the watch knows), the digest that messages between routers begin with (load reports and drain notices; a constant for the latter, hashed with each message before), the drawn faults of calls on sockets, the harness's lateness, signals to processes, outages of a plan, and what the trials of the endpoint list assert. list_call_interval_after_truncation goes: it was list_call_interval with no time left. Tests assert what they did, three and four of them by one function each.

--- a/router/src/endpoint_list/source.rs
+++ b/router/src/endpoint_list/source.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tallypin::api::Nanos;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
@@ -74,7 +73,6 @@
 pub(super) struct SourceWatch {
     pub source: Rc<ListSource>,
     watching: Option<WatchFuture>,
-    opened_at: Nanos,
 }
 
 impl SourceWatch {
@@ -94,7 +92,7 @@
             timeouts_changed: Notify::new(),
             clock: WatchClock::new(timeouts),
         };
-        SourceWatch { source: Rc::new(source), watching: None, opened_at: 0 }
+        SourceWatch { source: Rc::new(source), watching: None }
     }
 
     /// Opens the watch when its clock says so and follows it until it is lost. Cancel-safe: the watch is kept in `self`, and
@@ -124,8 +122,7 @@
             tracing::debug!(target: "node_list", address = %self.source.address,
                 "endpoint list call abandoned for a further one");
         }
-        self.opened_at = context.clock.now();
-        self.source.clock.watch_opened(self.opened_at);
+        self.source.clock.watch_opened(context.clock.now());
         context.state.count(|counts| counts.opened += 1);
         tracing::debug!(target: "node_list", address = %self.source.address, since = self.source.version.get(),
             unheard_ms = context.state.unheard_for().as_millis() as u64, "endpoint list watch opened");
@@ -142,7 +139,7 @@
             true => counts.lost += 1,
             false => counts.failed += 1,
         });
-        let open_for = Duration::from_nanos(now.saturating_sub(self.opened_at));
+        let open_for = Duration::from_nanos(now.saturating_sub(clock.opened_at()));
         LostWatch { error, established, truncated, open_for, losses: clock.losses() }
     }
 }
--- a/router/src/endpoint_list/watch_clock.rs
+++ b/router/src/endpoint_list/watch_clock.rs
@@ -123,6 +123,11 @@
         after(self.opened_at.get(), half + spread).max(after(now, spread))
     }
 
+    /// When the last watch was opened.
+    pub fn opened_at(&self) -> Nanos {
+        self.opened_at.get()
+    }
+
     /// Whether the last watch was heard.
     pub fn is_established(&self) -> bool {
         self.established.get()
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -218,6 +218,8 @@
     let known = known.unwrap_or(EndpointListMessage { version: 0, full: true, endpoints: Vec::new() });
     endpoint_list::apply(&components.endpoint_list, &known, tallypin::api::ListUpdate::Cached);
     components.start();
+    // Before balancers are told that it serves.
+    wait_for_agent(&components).await;
     let mut board = None;
     // The agent ends its tasks when it is dropped: it lasts as long as the program.
     let (mut adopting, mut _listening, mut _fleet) = (None, None, None);
@@ -249,7 +251,6 @@
         }
         adopting = Some(SettingsReloader::new(installation, board.clone(), Some(log.clone())));
     }
-    wait_for_agent(&components).await;
     if let Some(front) = messages {
         let listener = bind::bind_with_retry(async || TcpListener::bind(front.listen).await).await?;
         tokio::task::spawn_local(front::serve(
--- a/router/tests/discovery_trials.rs
+++ b/router/tests/discovery_trials.rs
@@ -22,7 +22,11 @@
     );
 }
 
-fn assert_kept(report: &Report) {
+/// Plays a plan in which more than so many requests come to replicas; fails with what the first router at fault saw.
+fn assert_kept(ip: &str, plan: &Plan, least: usize) {
+    let report = play(ip, plan);
+    tell(plan, &report);
+    assert!(report.received > least, "too little was played");
     let first = report.late.first().map(|late| late.to_string()).unwrap_or_default();
     assert!(
         report.late.is_empty(),
@@ -42,11 +46,7 @@
 /// beside discovery's, which answered 30 calls of others meanwhile; and this test, which plays nothing but refusals.
 #[test]
 fn routers_whose_calls_are_refused_are_notified_of_a_drain_in_time() {
-    let plan = Plan::refused_at_start(1);
-    let report = play("127.2.12.1", &plan);
-    tell(&plan, &report);
-    assert!(report.received > 500, "too little was played");
-    assert_kept(&report);
+    assert_kept("127.2.12.1", &Plan::refused_at_start(1), 500);
 }
 
 /// Seen: of 50 drawn series of changes one sent to a draining replica 0.25 s too late (seed 3039).
@@ -57,11 +57,7 @@
 /// Proof: its log, started 3.4 s after the change, calls 1.9, 3.1 and 4.7 s after its start.
 #[test]
 fn a_list_that_changed_while_routers_were_down_is_heard_in_time() {
-    let plan = Plan::torn_after_restart(1);
-    let report = play("127.2.12.2", &plan);
-    tell(&plan, &report);
-    assert!(report.received > 500, "too little was played");
-    assert_kept(&report);
+    assert_kept("127.2.12.2", &Plan::torn_after_restart(1), 500);
 }
 
 /// Seen: of 24 drawn trials with pushed lists, one sent to a draining replica 0.2 s too late (seed 4018).
@@ -72,11 +68,7 @@
 /// Proof: its log, "listens", then "watch opened"; the request at 5.5215 s, the call from 5.5208 to 5.5229 s.
 #[test]
 fn a_router_that_starts_goes_by_the_list_of_its_agent_from_its_first_request_on() {
-    let plan = Plan::pushed_restart(1);
-    let report = play("127.2.12.3", &plan);
-    tell(&plan, &report);
-    assert!(report.received > 300, "too little was played");
-    assert_kept(&report);
+    assert_kept("127.2.12.3", &Plan::pushed_restart(1), 300);
 }
 
 /// So many trials run side by side.
@@ -100,6 +92,13 @@
     (broken.into_inner(), unjudged.into_inner())
 }
 
+/// Plays the plans of the seeds that are asked for.
+fn assert_asked_for_kept(net: u8, plan: impl Fn(u64) -> Plan + Sync) {
+    let (broken, unjudged) = soak(net, seeds::asked_for(), plan);
+    println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
+    assert_eq!(broken, 0, "trials in which a draining replica was sent to");
+}
+
 /// Drawn troubles: discovery down, full, hanging, silent, its answers torn; routers that are killed and start again.
 #[test]
 fn drawn_troubles_leave_no_router_without_notice() {
@@ -112,9 +111,7 @@
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn drawn_troubles_of_these_seeds_leave_no_router_without_notice() {
-    let (broken, unjudged) = soak(15, seeds::asked_for(), Plan::drawn);
-    println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
-    assert_eq!(broken, 0, "trials in which a draining replica was sent to");
+    assert_asked_for_kept(15, Plan::drawn);
 }
 
 /// Series of drains, removals, restarts by signals, and new configurations that move discovery, beside drawn troubles.
@@ -128,44 +125,33 @@
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn drawn_series_of_these_seeds_leave_no_router_without_notice() {
-    let (broken, unjudged) = soak(16, seeds::asked_for(), Plan::drawn_series);
-    println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
-    assert_eq!(broken, 0, "trials in which a draining replica was sent to");
+    assert_asked_for_kept(16, Plan::drawn_series);
 }
 
 /// Lists that are pushed to an agent of each router, which count as notification as soon as the agent has them.
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn drawn_pushed_lists_of_these_seeds_leave_no_router_without_notice() {
-    let (broken, unjudged) = soak(20, seeds::asked_for(), Plan::drawn_pushed);
-    println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
-    assert_eq!(broken, 0, "trials in which a draining replica was sent to");
+    assert_asked_for_kept(20, Plan::drawn_pushed);
 }
 
+/// The wall clock is stepped within this time.
+const STEP_WITHIN: Duration = Duration::from_secs(6);
+
 /// The same while system calls of the routers fail or carry a part only, and their wall clock is stepped.
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn drawn_series_under_failing_system_calls_leave_no_router_without_notice() {
     let dir = tempfile::tempdir().unwrap();
     let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
-    let (broken, unjudged) = soak(17, seeds::asked_for(), |seed| Plan {
-        faults: Some(SocketFaults {
-            failures: 20,
-            short: 100,
-            first: 3,
-            step: ([-3600, -7, 0, 7, 3600][seed as usize % 5], Duration::from_millis(seed * 397 % 6_000)),
-            ..SocketFaults::none(&library)
-        }),
+    assert_asked_for_kept(17, |seed| Plan {
+        faults: Some(SocketFaults::drawn(&library, seed, STEP_WITHIN)),
         ..Plan::drawn_series(seed)
     });
-    println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
-    assert_eq!(broken, 0, "trials in which a draining replica was sent to");
 }
 
 #[test]
 #[ignore = "as many trials as asked for: minutes"]
 fn crowded_restarts_of_these_seeds_leave_no_router_without_notice() {
-    let (broken, unjudged) = soak(18, seeds::asked_for(), Plan::crowded_restart);
-    println!("trials in which the rule was broken: {broken}; not judged: {unjudged}");
-    assert_eq!(broken, 0, "trials in which a draining replica was sent to");
+    assert_asked_for_kept(18, Plan::crowded_restart);
 }
--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -68,32 +68,17 @@
     assert_eq!(soak(1..25, |_| {}), 0, "trials in which a rule was broken");
 }
 
-/// System calls that fail for a moment or carry a part only, one in so many thousand.
-const FAILURES: u32 = 20;
-const SHORT: u32 = 100;
-/// So many sockets cannot be had when the program starts.
-const FIRST: u32 = 3;
-
 /// Writes to replicas, in a thousand, before which the program is held up.
 const HOLDS: u32 = 3;
-/// The wall clock is stepped by one of these, in seconds.
-const STEPS: [i64; 5] = [-3600, -7, 0, 7, 3600];
+/// The wall clock is stepped within this time, in some trials during the shutdown.
+const STEP_WITHIN: Duration = Duration::from_secs(2);
 
 /// Has system calls of the program fail, writes held up, and the wall clock stepped.
 fn with_faults(library: &Path) -> impl Fn(&mut Plan) + Sync {
-    let none = SocketFaults::none(library);
+    let library = library.to_path_buf();
     move |plan| {
-        let step = STEPS[plan.seed as usize % STEPS.len()];
-        // Some before the program has looked at its clock, some in a shutdown.
-        let at = Duration::from_millis(plan.seed * 397 % 2_000);
-        plan.shim = Some(SocketFaults {
-            failures: FAILURES,
-            short: SHORT,
-            first: FIRST,
-            holds: HOLDS,
-            step: (step, at),
-            ..none.clone()
-        });
+        let faults = SocketFaults::drawn(&library, plan.seed, STEP_WITHIN);
+        plan.shim = Some(SocketFaults { holds: HOLDS, ..faults });
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,8 +10,7 @@
 
 pub use self::action::Action;
 pub use self::endpoint::{
-    list_call_interval, list_call_interval_after_truncation, EndpointEntry, EndpointListMode, EndpointState,
-    ListUpdate, NOTIFICATION_LIMIT,
+    list_call_interval, EndpointEntry, EndpointListMode, EndpointState, ListUpdate, NOTIFICATION_LIMIT,
 };
 pub use self::event::Event;
 pub use self::ids::{
--- a/src/api/endpoint.rs
+++ b/src/api/endpoint.rs
@@ -23,11 +23,6 @@
     (distance / 3 * 2).clamp(of_the_fleet.clamp(shortest, longest), longest)
 }
 
-/// The same behind an answer that stopped in its middle: soon, whatever time is left, as no room was wanting.
-pub fn list_call_interval_after_truncation(router_count: u32) -> Nanos {
-    list_call_interval(router_count, 0, 0)
-}
-
 /// How the endpoint list comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointListMode {
--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -5,8 +5,8 @@
 use super::outlier_ejection::FIRST_EJECTION;
 use super::{Balancer, LIST_POLL_TIMER};
 use crate::api::{
-    list_call_interval_after_truncation, Action, EndpointEntry, EndpointListMode, EndpointState, ListUpdate,
-    Nanos, NOTIFICATION_LIMIT, SECOND,
+    list_call_interval, Action, EndpointEntry, EndpointListMode, EndpointState, ListUpdate, Nanos,
+    NOTIFICATION_LIMIT, SECOND,
 };
 use crate::decode_rate::DecodeRate;
 
@@ -88,7 +88,8 @@
         self.list_polling.failed(now);
         if let EndpointListMode::Polled { .. } = self.settings.list_mode {
             let interval = match kind {
-                ListUpdate::Truncated => list_call_interval_after_truncation(self.settings.router_count),
+                // No room was wanting: soon, as if no time were left.
+                ListUpdate::Truncated => list_call_interval(self.settings.router_count, now, now),
                 _ => self.list_polling.interval(now, self.settings.router_count),
             };
             let at = self.list_polling.poll_after_failure(now, interval, self.rng.f64());
--- a/src/drain_notice.rs
+++ b/src/drain_notice.rs
@@ -3,12 +3,12 @@
 //! when, and what follows from it, is decided in `decisions/drain_notices.rs`.
 
 use crate::api::{EndpointEntry, Nanos, ReplicaId};
-use crate::name_hash;
+use crate::name_hash::{message_digest, MESSAGE_DIGEST_LENGTH};
 
 /// The format; hashed into the digest that each message begins with, so that another format is another digest.
 const FORMAT: &str = "drain notices, form 1";
-/// Bytes of the digest.
-const DIGEST_LENGTH: usize = 3;
+/// Each message begins with it.
+const DIGEST: [u8; MESSAGE_DIGEST_LENGTH] = message_digest(FORMAT.as_bytes());
 /// What a message is.
 const QUERY: u8 = 0;
 const NOTICE: u8 = 1;
@@ -17,7 +17,7 @@
 /// The most bytes of a message; the platform's bound on what routers send each other.
 const MAX_MESSAGE_BYTES: usize = 256;
 /// The most replicas of a message.
-pub const MAX_ENTRIES: usize = (MAX_MESSAGE_BYTES - DIGEST_LENGTH - 1) / ENTRY_LENGTH;
+pub const MAX_ENTRIES: usize = (MAX_MESSAGE_BYTES - DIGEST.len() - 1) / ENTRY_LENGTH;
 
 /// An incarnation of a replica, as routers tell each other of it: one that has started again is another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -49,20 +49,15 @@
     Notice(Vec<Incarnation>),
 }
 
-fn digest() -> [u8; DIGEST_LENGTH] {
-    let [.., a, b, c] = name_hash::text_digest(FORMAT.as_bytes()).to_be_bytes();
-    [a, b, c]
-}
-
 impl DrainMessage {
     /// Whether a message is one about drains, be it well formed or not.
     pub fn is_one(bytes: &[u8]) -> bool {
-        bytes.starts_with(&digest())
+        bytes.starts_with(&DIGEST)
     }
 
     /// The message as it is sent; a notice has no more than [`MAX_ENTRIES`].
     pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = digest().to_vec();
+        let mut bytes = DIGEST.to_vec();
         match self {
             DrainMessage::Query => bytes.push(QUERY),
             DrainMessage::Notice(entries) => {
@@ -81,7 +76,7 @@
         if bytes.len() > MAX_MESSAGE_BYTES {
             return None;
         }
-        let (&kind, body) = bytes.strip_prefix(&digest())?.split_first()?;
+        let (&kind, body) = bytes.strip_prefix(&DIGEST)?.split_first()?;
         match kind {
             QUERY if body.is_empty() => Some(DrainMessage::Query),
             NOTICE if body.len() % ENTRY_LENGTH == 0 => {
--- a/src/name_hash.rs
+++ b/src/name_hash.rs
@@ -11,20 +11,26 @@
 /// The bits of a hash that a digest leaves out: the low bits of a product are its weakest, and the lowest is always 1.
 const WEAK_BITS: u32 = 20;
 
+/// Bytes of the digest of a message: one of 16 million, enough to tell configurations apart; each byte sent has a price.
+pub(crate) const MESSAGE_DIGEST_LENGTH: usize = 3;
+
 /// A 64-bit hash of a text. Never 0.
-fn hash(text: &[u8]) -> u64 {
+const fn hash(text: &[u8]) -> u64 {
     let mut h = FNV_OFFSET_BASIS;
-    for byte in text {
-        h = (h ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+    let mut place = 0;
+    while place < text.len() {
+        h = (h ^ text[place] as u64).wrapping_mul(FNV_PRIME);
+        place += 1;
     }
     // FNV alone leaves its low bits worse than its high ones.
     h ^= h >> 32;
     h.wrapping_mul(MIX_MULTIPLIER) | 1
 }
 
-/// A digest of a text in the low 44 bits.
-pub(crate) fn text_digest(text: &[u8]) -> u64 {
-    hash(text) >> WEAK_BITS
+/// A digest of what the content of a message means, with which the message begins.
+pub(crate) const fn message_digest(meaning: &[u8]) -> [u8; MESSAGE_DIGEST_LENGTH] {
+    let [.., a, b, c] = (hash(meaning) >> WEAK_BITS).to_be_bytes();
+    [a, b, c]
 }
 
 /// The identifier of a replica, from the name it has at every router.
--- a/src/served_report.rs
+++ b/src/served_report.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 
 use crate::api::TenantId;
-use crate::name_hash;
+use crate::name_hash::{message_digest, MESSAGE_DIGEST_LENGTH};
 
 /// The format of reports; hashed into each digest, so that another format is another digest. The text itself is never
 /// changed without a change of the format.
@@ -19,12 +19,9 @@
 /// the same at two routers only if their digests agree: not while a change of the settings is being rolled out, nor
 /// between versions of the program.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct TenantsDigest([u8; TenantsDigest::LENGTH]);
+pub struct TenantsDigest([u8; MESSAGE_DIGEST_LENGTH]);
 
 impl TenantsDigest {
-    /// Bytes: one of 16 million digests, enough to tell configurations apart; each byte sent has a price.
-    const LENGTH: usize = 3;
-
     /// The digest of tenants with these names, in this order.
     pub fn of_tenants<'a>(names: impl IntoIterator<Item = &'a str>) -> TenantsDigest {
         let mut text = FORMAT.to_string();
@@ -32,8 +29,7 @@
             // With the length in front no two lists of names make the same text.
             text += &format!("\n{} {name}", name.len());
         }
-        let [.., a, b, c] = name_hash::text_digest(text.as_bytes()).to_be_bytes();
-        TenantsDigest([a, b, c])
+        TenantsDigest(message_digest(text.as_bytes()))
     }
 }
 
--- a/test-support/src/lib.rs
+++ b/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod balancer;
 pub mod checkers;
 pub mod growth;
+mod lateness;
 pub mod list_trial;
 pub mod park;
 pub mod relay;
--- a/test-support/src/list_trial/mod.rs
+++ b/test-support/src/list_trial/mod.rs
@@ -24,6 +24,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
+use crate::lateness::note_lateness;
 use discovery::Discovery;
 use routers::Routers;
 
@@ -35,8 +36,6 @@
 const TAIL: Duration = Duration::from_millis(1_500);
 /// The harness is on time if it is never later than this; else nothing is judged.
 const ON_TIME: Duration = Duration::from_millis(100);
-/// How often its lateness is looked at.
-const LOOK: Duration = Duration::from_millis(5);
 
 /// A request that reached a replica too late after a change of the list.
 #[derive(Debug, Clone)]
@@ -211,11 +210,3 @@
     }
     first
 }
-
-async fn note_lateness(lateness: Rc<Cell<Duration>>) {
-    loop {
-        let due = Instant::now() + LOOK;
-        sleep_until(due).await;
-        lateness.set(lateness.get().max(Instant::now() - due));
-    }
-}
--- a/test-support/src/list_trial/plan.rs
+++ b/test-support/src/list_trial/plan.rs
@@ -289,38 +289,40 @@
         if self.pushed {
             return self.pushed_at(change);
         }
-        let reachable = self.troubles.iter().filter_map(|trouble| match *trouble {
+        self.reachable_after(change.at).max(change.at) + NOTIFICATION_LIMIT
+    }
+
+    /// When the outages that cover a time have ended; zero if there are none.
+    fn reachable_after(&self, time: Duration) -> Duration {
+        let ends = self.troubles.iter().filter_map(|trouble| match *trouble {
             Trouble::Down { at, length } | Trouble::Hangs { at, length }
-                if (at..at + length).contains(&change.at) =>
+                if (at..at + length).contains(&time) =>
             {
                 Some(at + length)
             }
             _ => None,
         });
-        reachable.max().unwrap_or(change.at).max(change.at) + NOTIFICATION_LIMIT
+        ends.max().unwrap_or_default()
     }
 
     /// When the agents have a change, which counts as notification then; and the limit after a silence, where watches that
     /// were open miss it.
     fn pushed_at(&self, change: &Change) -> Duration {
-        let later = self.troubles.iter().filter_map(|trouble| match *trouble {
-            Trouble::Down { at, length } if (at..at + length).contains(&change.at) => Some(at + length),
+        let silences = self.troubles.iter().filter_map(|trouble| match *trouble {
             Trouble::WatchesFallSilent(at) if at <= change.at => Some(at + NOTIFICATION_LIMIT),
             _ => None,
         });
-        later.max().unwrap_or_default().max(change.at)
+        silences.max().unwrap_or_default().max(self.reachable_after(change.at)).max(change.at)
     }
 
     /// A process that starts while its agent is down learns nothing until then: it counts as notified of what is older when
     /// the agent returns.
     pub fn agent_returns_after(&self, started_at: Duration) -> Duration {
-        let returns = self.troubles.iter().filter_map(|trouble| match *trouble {
-            Trouble::Down { at, length } if self.pushed && (at..at + length).contains(&started_at) => {
-                Some(at + length)
-            }
-            _ => None,
-        });
-        returns.max().unwrap_or_default()
+        if self.pushed {
+            self.reachable_after(started_at)
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// When every router counts as notified of every change.
--- a/test-support/src/list_trial/routers.rs
+++ b/test-support/src/list_trial/routers.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::Command;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use super::plan::{End, Move, Restart, CLIENT_DEADLINE};
 use super::{traffic, Trial};
 use crate::park::Reserved;
-use crate::router_process::RouterProcess;
+use crate::router_process::{signal_all, RouterProcess};
 
 /// Routers have to be ready within this.
 const READY: Duration = Duration::from_secs(20);
@@ -160,8 +159,7 @@
     /// Sends a signal to these routers, in one go.
     fn signal(&self, name: &str, routers: &[usize]) -> io::Result<()> {
         let all = self.all.borrow();
-        let ids = routers.iter().map(|&number| all[number].process.id().to_string());
-        Command::new("kill").arg(name).args(ids).stderr(std::process::Stdio::null()).status().map(drop)
+        signal_all(name, routers.iter().map(|&number| &all[number].process))
     }
 
     /// Writes configurations that have discovery at its later address.
--- a/test-support/src/router_process.rs
+++ b/test-support/src/router_process.rs
@@ -95,7 +95,7 @@
     /// # Errors
     /// `kill` can't be run.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        Command::new("kill").args([name, &self.id().to_string()]).stderr(Stdio::null()).status().map(drop)
+        signal_all(name, [self])
     }
 
     /// Kills it, and waits until it is gone.
@@ -107,3 +107,12 @@
         self.child.wait().map(drop)
     }
 }
+
+/// Sends processes a signal in one go, by a name that `kill` takes.
+///
+/// # Errors
+/// `kill` can't be run.
+pub fn signal_all<'a>(name: &str, processes: impl IntoIterator<Item = &'a RouterProcess>) -> io::Result<()> {
+    let ids = processes.into_iter().map(|process| process.id().to_string());
+    Command::new("kill").arg(name).args(ids).stderr(Stdio::null()).status().map(drop)
+}
--- a/test-support/src/shim.rs
+++ b/test-support/src/shim.rs
@@ -63,7 +63,19 @@
     pub step: (i64, Duration),
 }
 
+/// The wall clock is stepped by one of these, in seconds.
+const CLOCK_STEPS: [i64; 5] = [-3600, -7, 0, 7, 3600];
+
 impl SocketFaults {
+    /// Calls that fail for a moment or carry a part only, no sockets at first, and a step of the wall clock within this
+    /// time, some before the program has looked at its clock.
+    pub fn drawn(library: &Path, seed: u64, step_within: Duration) -> SocketFaults {
+        let step = CLOCK_STEPS[seed as usize % CLOCK_STEPS.len()];
+        let step_at = Duration::from_millis(seed * 397 % step_within.as_millis() as u64);
+        let none = SocketFaults::none(library);
+        SocketFaults { failures: 20, short: 100, first: 3, step: (step, step_at), ..none }
+    }
+
     /// No faults.
     pub fn none(library: &Path) -> SocketFaults {
         let step = (0, Duration::ZERO);
--- a/test-support/src/trial/mod.rs
+++ b/test-support/src/trial/mod.rs
@@ -23,14 +23,13 @@
 use tokio::time::Instant;
 pub use verdict::{Break, Rule};
 
+use crate::lateness::note_lateness;
 use crate::park::{List, Reserved};
 use pauses::{Pause, Pauses};
 use process::Router;
 
 /// The harness is on time if it is never later than this; else rules about times are not judged.
 const ON_TIME: Duration = Duration::from_millis(60);
-/// How often its lateness is looked at.
-const LOOK: Duration = Duration::from_millis(5);
 /// A router has to be ready within this.
 const READY: Duration = Duration::from_secs(20);
 
@@ -243,11 +242,3 @@
     tokio::time::sleep(length).await;
     lists.iter().for_each(|list| list.silence(false));
 }
-
-async fn note_lateness(late: Rc<Cell<Duration>>) {
-    loop {
-        let due = Instant::now() + LOOK;
-        tokio::time::sleep_until(due).await;
-        late.set(late.get().max(Instant::now() - due));
-    }
-}
