Reject late requests in a shutdown whose streams the kill would cut

Cause: shutdown.rs and serve_requests knew one limit, Stage::Rejecting: until 0.4 s before the kill every request was forwarded, however long its answer takes. Evidence: debug log of a run of the case: "request accepted" 1.99 s after SIGTERM, 1.5 s after the stage Closing and 1.2 s before Rejecting; no attempt aborted, Rejecting 0.45 s before the kill, a token every 20 ms to the end. That rules out a request accepted early and sent late, a kill expected too late, a cut by the router, a slow replica.

Change: once the listeners have closed, the core forwards a request only if its longest answer, by the client's token limit and the slower of the class's objective and the pace of the last 32 streams, can end 0.4 s before the kill, or if the client can resume it. What that leaves is its deadline for the first token, for retries and hedged requests as well. The rest is rejected unsent. The same holds for the drain that balancers are notified of, and for answers that the messages API collects.

--- a/router/src/core/mod.rs
+++ b/router/src/core/mod.rs
@@ -5,6 +5,8 @@
 mod answer;
 mod instruction;
 mod request;
+mod shutdown;
+mod shutdown_admission;
 mod timers;
 
 use std::collections::VecDeque;
@@ -19,14 +21,15 @@
 
 use crate::operator_override::{OverriddenEndpointList, ReplicaRestoration};
 use request::OpenRequest;
+use shutdown_admission::ShutdownAdmission;
 use timers::{TimerKind, Timers};
 
 /// The core of one router.
 pub struct Core {
     /// The decision module, whose actions the core carries out.
     balancer: Balancer,
-    /// Effect of repeating a request, by class.
-    effects: Vec<Effect>,
+    /// The request classes.
+    classes: Vec<Class>,
     /// Maximum number of attempts per request.
     attempt_limit: usize,
     /// Time after a request's deadline in which the decision module may still answer, in nanoseconds.
@@ -43,6 +46,7 @@
     /// Events that the decision module has not handled yet.
     events: VecDeque<Event>,
     counts: RequestCounts,
+    shutdown_admission: ShutdownAdmission,
 }
 
 impl Core {
@@ -53,9 +57,8 @@
     /// Returns an error if the settings contradict each other.
     pub fn new(settings: Settings, seed: u64, answer_slack: Nanos) -> Result<Core, SettingsError> {
         let attempt_limit = settings.max_attempts as usize;
-        let effects = settings.classes.iter().map(|c| c.effect).collect();
         Ok(Core {
-            effects,
+            classes: settings.classes.clone(),
             balancer: Balancer::new(settings, seed)?,
             attempt_limit,
             answer_slack,
@@ -68,23 +71,38 @@
             late_streams: 0,
             events: VecDeque::new(),
             counts: RequestCounts::default(),
+            shutdown_admission: ShutdownAdmission::default(),
         })
     }
 
     /// Returns the effect of repeating a request of a class. A class that the settings lack counts as not idempotent.
     fn effect_of(&self, class: ClassId) -> Effect {
-        self.effects.get(class.0 as usize).copied().unwrap_or(Effect::NotIdempotent)
+        self.classes.get(class.0 as usize).map_or(Effect::NotIdempotent, |class| class.effect)
+    }
+
+    /// Returns the objective of a class for the time between two tokens, in nanoseconds; 0 if it has none.
+    fn token_interval_objective(&self, class: ClassId) -> Nanos {
+        self.classes.get(class.0 as usize).map_or(0, |class| class.token_interval_objective)
     }
 
     /// Accepts a request. It gets one final answer, unless its client disconnects first.
     pub fn accept(&mut self, now: Nanos, request: NewRequest) -> RequestId {
         self.last_id += 1;
         let id = RequestId(self.last_id);
-        let open = OpenRequest::new(now, request.time_left, self.effect_of(request.class));
+        let interval_objective = self.token_interval_objective(request.class);
+        let time_left = self.shutdown_admission.time_left(now, &request, interval_objective);
+        let is_cut_off = time_left == 0 && request.time_left > 0;
+        let request = NewRequest { time_left, ..request };
+        let open = OpenRequest::new(now, time_left, self.effect_of(request.class));
         self.timers.schedule(open.deadline.saturating_add(self.answer_slack), TimerKind::Deadline(id));
         self.requests.insert(id, open);
         self.counts.accepted += 1;
         self.counts.resumed += u64::from(request.resumes_stream);
+        if is_cut_off {
+            let rejection = FinalAnswer::Rejected { retry_after: 0, reason: RejectReason::NoCapacity };
+            self.finish(now, id, rejection, AnswerCause::Shutdown);
+            return id;
+        }
         self.handle(now, Event::Request(request.into_request(id)));
         id
     }
@@ -109,6 +127,7 @@
             return false;
         }
         open.streaming_attempt = Some(attempt);
+        open.streaming_since = now;
         self.counts.streams_started += 1;
         let time_to_deadline = open.deadline.saturating_sub(open.accepted_at);
         self.late_streams += u64::from(now.saturating_sub(open.accepted_at) > time_to_deadline / 2);
@@ -127,6 +146,10 @@
         }
         if open.streaming_attempt == Some(attempt) && !open.answered {
             let complete = result.outcome == Outcome::Completed;
+            if let Some(tokens) = result.answer_tokens.filter(|_| complete) {
+                let duration = now.saturating_sub(open.streaming_since);
+                self.shutdown_admission.record_stream(tokens, duration);
+            }
             let answer = if complete { FinalAnswer::Completed } else { FinalAnswer::Interrupted };
             self.finish(now, id, answer, AnswerCause::StreamEnded);
         }
@@ -144,31 +167,6 @@
         self.process_events(now);
     }
 
-    /// Answers open requests before the process is killed. A request without a stream is rejected if a retry does no harm, and
-    /// failed otherwise. Streams of requests accepted after `interrupt_after` are interrupted, so that their clients resume them
-    /// at another router. `None` means that clients do not resume streams; all streams then continue.
-    pub fn answer_for_shutdown(&mut self, now: Nanos, interrupt_after: Option<Nanos>) {
-        let is_due = |open: &OpenRequest| match open.streaming_attempt {
-            None => true,
-            Some(_) => interrupt_after.is_some_and(|after| open.accepted_at > after),
-        };
-        let due = self.requests.iter().filter(|(_, open)| !open.answered && is_due(open));
-        let mut due: Vec<RequestId> = due.map(|(id, _)| *id).collect();
-        // The hash table is unordered: sort the requests by acceptance.
-        due.sort_unstable();
-        for id in due {
-            let streams = self.requests.get(&id).is_some_and(|open| open.streaming_attempt.is_some());
-            let answer = match streams {
-                true => FinalAnswer::Interrupted,
-                false => FinalAnswer::Rejected { retry_after: 0, reason: RejectReason::NoCapacity },
-            };
-            self.finish(now, id, answer, AnswerCause::Shutdown);
-            self.handle(now, Event::ClientLeft(id));
-            self.abort_attempts(now, id, None, AbortReason::Shutdown);
-            self.process_events(now);
-        }
-    }
-
     /// Applies a full endpoint list or a change to it.
     pub fn endpoints_changed(&mut self, now: Nanos, kind: ListUpdate, entries: Vec<EndpointEntry>) {
         let entries = self.endpoints.apply_update(kind, entries);
--- a/router/src/core/request.rs
+++ b/router/src/core/request.rs
@@ -25,6 +25,10 @@
     pub resumes_stream: bool,
     /// Whether the client marked the request as a retry.
     pub is_client_retry: bool,
+    /// Maximum number of tokens of the answer, if the client sets one.
+    pub max_answer_tokens: Option<u32>,
+    /// Whether the client can request the rest of an interrupted answer.
+    pub is_resumable: bool,
 }
 
 impl NewRequest {
@@ -52,13 +56,15 @@
     pub outcome: Outcome,
     /// Number of prompt tokens that the replica read from its cache, if it reported them.
     pub cached_tokens: Option<u32>,
+    /// Number of tokens of the answer, if the replica reported them.
+    pub answer_tokens: Option<u32>,
     /// The values of the replica's load report, in the order of the fields in the settings.
     pub load_report: Vec<f64>,
 }
 
 impl From<Outcome> for AttemptResult {
     fn from(outcome: Outcome) -> Self {
-        AttemptResult { outcome, cached_tokens: None, load_report: Vec::new() }
+        AttemptResult { outcome, cached_tokens: None, answer_tokens: None, load_report: Vec::new() }
     }
 }
 
@@ -115,6 +121,8 @@
     attempts: Vec<AttemptRecord>,
     /// The attempt whose stream goes to the client.
     pub(super) streaming_attempt: Option<u32>,
+    /// When the stream's first event arrived; 0 before.
+    pub(super) streaming_since: Nanos,
     pub(super) answered: bool,
 }
 
@@ -127,6 +135,7 @@
             effect,
             attempts: Vec::new(),
             streaming_attempt: None,
+            streaming_since: 0,
             answered: false,
         }
     }
--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -140,6 +140,9 @@
             session: Some(name_hash::session_key(&session)),
             prefix: (!conversation.system.is_empty()).then(|| name_hash::prefix_key(&prefix)),
             is_client_retry: false,
+            max_answer_tokens: Some(u32::try_from(conversation.max_tokens).unwrap_or(u32::MAX)),
+            // An answer that is not streamed is lost as a whole.
+            is_resumable: context.deployment.resumes_streams && conversation.stream,
             resumes_stream: request.head.single_value("x-resume-of")?.is_some()
                 && conversation.continues_answer(),
         };
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -69,6 +69,7 @@
         session: head.single_value("req-key")?.map(|key| name_hash::session_key(key)),
         resumes_stream: retry == Some("again"),
         is_client_retry: retry == Some("1"),
+        is_resumable: deployment.resumes_streams,
         ..NewRequest::default()
     };
     for pair in head.text_value("req-extra")?.unwrap_or_default().split(',').filter(|p| !p.trim().is_empty())
@@ -79,6 +80,7 @@
             "prefix" => new_request.prefix = Some(name_hash::prefix_key(value.as_bytes())),
             "prompt_len" => new_request.prompt_tokens = tokens()?,
             "prefix_len" => new_request.prefix_tokens = tokens()?,
+            "max_out" => new_request.max_answer_tokens = tokens().ok().filter(|limit| *limit > 0),
             _ => {}
         }
     }
--- a/router/src/replica/attempt.rs
+++ b/router/src/replica/attempt.rs
@@ -179,7 +179,7 @@
             StartLine::Status(status) => {
                 let outcome = outcome_of_status(status, &head);
                 self.reuse_after_error(connection, &head, framing);
-                AttemptResult { outcome, cached_tokens: None, load_report }
+                AttemptResult { load_report, ..outcome.into() }
             }
             StartLine::Request(..) => Outcome::ConnectionReset.into(),
         }
--- a/router/src/replica/probe.rs
+++ b/router/src/replica/probe.rs
@@ -40,7 +40,7 @@
     if head.keeps_alive() && connection.wire.read_buffer.is_empty() {
         context.pool.return_connection(connection);
     }
-    Ok(AttemptResult { outcome, cached_tokens: None, load_report })
+    Ok(AttemptResult { load_report, ..outcome.into() })
 }
 
 /// Reads a body of at most `limit` bytes.
--- a/router/src/replica/relay.rs
+++ b/router/src/replica/relay.rs
@@ -53,7 +53,7 @@
             events: EventSplitter::default(),
             buffered: BytesMut::new(),
             buffered_events: Vec::new(),
-            result: AttemptResult { outcome: Outcome::ConnectionReset, cached_tokens: None, load_report },
+            result: AttemptResult { load_report, ..Outcome::ConnectionReset.into() },
             complete,
             last_event_at: Instant::now(),
         }
@@ -157,8 +157,9 @@
         context.pool.dialect.read_events(bytes, self.attempt.needs_event_text, &mut events);
         for event in &events {
             match event {
-                StreamEvent::Usage { cached_tokens: Some(cached), .. } => {
-                    self.result.cached_tokens = Some((*cached).min(u32::MAX.into()) as u32);
+                StreamEvent::Usage { cached_tokens, answer_tokens, .. } => {
+                    self.result.cached_tokens = cached_tokens.map(saturate).or(self.result.cached_tokens);
+                    self.result.answer_tokens = answer_tokens.map(saturate).or(self.result.answer_tokens);
                 }
                 StreamEvent::LoadReport(report) => {
                     self.result.load_report = dialect::parse_load_report(report, &context.report_fields);
@@ -170,3 +171,8 @@
         events
     }
 }
+
+/// Converts a token count of a replica, which may state any number.
+fn saturate(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -119,6 +119,8 @@
         balancers_not_notified = health_monitor.notification_timed_out(), "closing the listeners");
     components.lifecycle.enter(Stage::Closing);
     sleep(components.limits.final_read_duration * 2).await;
+    let drain_time = components.limits.drain_time;
+    components.with_core(|core, now| core.require_answers_to_end_by(add_duration(now, drain_time)));
     if timeout(components.limits.drain_time, wait_until_clients_closed(components)).await.is_err() {
         let clients = components.clients.open();
         tracing::warn!(target: "drain", clients, "shutting down with clients that have not finished");
@@ -154,9 +156,10 @@
     components.lifecycle.enter(Stage::Closing);
     // Requests in transit when the listeners closed have arrived after this time.
     sleep(limits.final_read_duration * 2).await;
+    let forwarding_end = add_duration(started_at, limits.forwarding_end_after_stop);
+    components.with_core(|core, _| core.require_answers_to_end_by(forwarding_end));
     let mut finished = std::pin::pin!(wait_until_clients_closed(components));
-    let until = components.clock.instant(add_duration(started_at, limits.forwarding_end_after_stop));
-    if timeout_at(until.into(), &mut finished).await.is_err() {
+    if timeout_at(components.clock.instant(forwarding_end).into(), &mut finished).await.is_err() {
         answer_open_requests(components, add_duration(started_at, limits.late_arrival_after_stop));
         let _ = timeout(limits.drain_time, finished).await;
     }
--- a/router/tests/checks.rs
+++ b/router/tests/checks.rs
@@ -21,6 +21,7 @@
 use tallypin_router::endpoint_list::{self, EndpointListMessage, EndpointRecord};
 use tallypin_router::front::{self, Front};
 use tallypin_router::installation::{ControlSettings, Installation};
+use tallypin_router::lifecycle::Stage;
 use tallypin_router::peers::Peers;
 use tallypin_router::reload::SettingsReloader;
 use tallypin_router::{config, probe, shutdown};
@@ -287,6 +288,36 @@
     });
 }
 
+/// Guards against forwarding a request whose stream the end of the drain would cut.
+#[test]
+fn a_request_completed_at_the_end_of_a_drain_is_rejected_if_its_answer_may_outlast_it() {
+    run_test(async {
+        for (max_tokens, status) in [(10, 200), (400, 503)] {
+            let replica = MockReplica::new(Chat).await;
+            let mut config = config();
+            (config.deployment.resumes_streams, config.limits.drain_time) = (false, 2000 * MS);
+            for class in &mut config.deployment.decision_settings.classes {
+                class.token_interval_objective = 50_000_000;
+            }
+            let replicas = vec![endpoint_record("s-0", replica.addr, "active")];
+            let router = start_with(config, replicas, &ANY_PORTS, &[], None).await;
+            router.until(|s| s == HealthState::Up).await;
+            let request = platform_request(&format!("Req-Extra: max_out={max_tokens}\r\n"), "{}");
+            let (start, last_byte) = request.split_at(request.len() - 1);
+            let mut client = Client::connect(router.front).await;
+            client.send(start).await;
+            let shutdown = router.begin_shutdown();
+            router.components.lifecycle.wait_for(Stage::Closing).await;
+            tokio::time::sleep(router.components.limits.final_read_duration * 3).await;
+            client.send(last_byte).await;
+            assert_eq!(client.read_answer().await.0, status, "at most {max_tokens} tokens");
+            assert_eq!(replica.take_counts().1, usize::from(status == 200), "at most {max_tokens} tokens");
+            drop(client);
+            shutdown.await.unwrap();
+        }
+    });
+}
+
 /// A cause that all routers share is reported as degraded, never as down.
 #[test]
 fn a_fleet_without_warm_replicas_makes_the_router_degraded() {
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -69,6 +69,41 @@
     );
 }
 
+/// Returns the deadline, counted from `now`, of the attempt that is started for a request.
+fn deadline_of_attempt(core: &mut Core, now: Nanos, request: NewRequest) -> Option<Nanos> {
+    core.accept(now, request);
+    let started = core.take_instructions().into_iter().find_map(|instruction| match instruction {
+        Instruction::StartAttempt { deadline, .. } => Some(deadline),
+        _ => None,
+    });
+    started.map(|deadline| deadline - now)
+}
+
+/// Guards against a stream that the end of the process cuts: the first token has to come while the answer can still end. The
+/// pace is that of the streams that the core has seen.
+#[test]
+fn during_a_shutdown_the_deadline_leaves_time_for_the_answer() {
+    let mut core = core(1);
+    let id = core.accept(START, request(SECOND));
+    assert!(core.first_event(START + 10 * MS, id, 0));
+    // 100 tokens in 2 s: 20 ms a token.
+    let stream_end = AttemptResult { answer_tokens: Some(100), ..Outcome::Completed.into() };
+    core.attempt_ended(START + 2010 * MS, id, 0, stream_end);
+    core.take_instructions();
+    let now = START + 3 * SECOND;
+    core.require_answers_to_end_by(now + 2 * SECOND);
+    let limited = |max_tokens| NewRequest { max_answer_tokens: Some(max_tokens), ..request(SECOND) };
+    assert_eq!(deadline_of_attempt(&mut core, now, limited(20)), Some(SECOND));
+    assert_eq!(deadline_of_attempt(&mut core, now, limited(75)), Some(500 * MS));
+    for too_long in [limited(100), request(SECOND)] {
+        let rejected = core.counts().rejected_by_shutdown;
+        assert_eq!(deadline_of_attempt(&mut core, now, too_long), None);
+        assert_eq!(core.counts().rejected_by_shutdown, rejected + 1);
+    }
+    let resumable = NewRequest { is_resumable: true, ..limited(100) };
+    assert_eq!(deadline_of_attempt(&mut core, now, resumable), Some(SECOND));
+}
+
 #[test]
 fn a_stream_that_has_begun_has_no_deadline_and_ends_once() {
     for (outcome, expected) in
@@ -80,7 +115,7 @@
         assert!(!core.first_event(START + 51 * MS, id, 0), "a stream starts only once");
         core.run_timers(START + 10 * SECOND);
         core.take_instructions();
-        let end = AttemptResult { outcome, cached_tokens: Some(3), load_report: Vec::new() };
+        let end = AttemptResult { cached_tokens: Some(3), ..outcome.into() };
         core.attempt_ended(START + 11 * SECOND, id, 0, end.clone());
         core.attempt_ended(START + 11 * SECOND, id, 0, end);
         assert_eq!(final_answers(&core.take_instructions()), [expected]);
@@ -292,6 +327,7 @@
         now += if step < 500 { rng.u64(1..60) } else { 60 } * MS;
         match rng.u8(..12) {
             _ if step >= 500 => {}
+            _ if step == 450 => core.require_answers_to_end_by(now + 2 * SECOND),
             0..=5 => {
                 accepted += 1;
                 let class = ClassId(rng.u32(..7));
@@ -307,6 +343,8 @@
                         prefix: rng.bool().then(|| PrefixKey(rng.u64(..5))),
                         resumes_stream: resumes_streams && rng.u8(..9) == 0,
                         is_client_retry: rng.bool(),
+                        max_answer_tokens: rng.bool().then(|| rng.u32(1..100)),
+                        is_resumable: resumes_streams,
                     },
                 );
                 let effect =
--- a/router/tests/ending.rs
+++ b/router/tests/ending.rs
@@ -4,18 +4,19 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::*;
-use tallypin::api::{Effect, RequestId};
+use tallypin::api::{Effect, Nanos, RequestId};
 use tallypin_router::dialect::Dialect::Chat;
 use tallypin_router::lifecycle::Stage;
 use tallypin_router::shutdown;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -85,6 +86,112 @@
     });
 }
 
+/// Starts a router whose clients cannot resume streams, in which an answer takes `TOKEN_INTERVAL` a token.
+async fn router_without_resumption(replica: &MockReplica) -> TestRouter {
+    const TOKEN_INTERVAL: Duration = Duration::from_millis(50);
+    let mut config = config();
+    config.deployment.resumes_streams = false;
+    for class in &mut config.deployment.decision_settings.classes {
+        class.token_interval_objective = TOKEN_INTERVAL.as_nanos() as Nanos;
+    }
+    (config.limits.shutdown_grace, config.limits.forwarding_end_after_stop) = (5 * MS, 3000 * MS);
+    TestRouter::with_config(config, Chat, &[replica], None).await
+}
+
+/// Requests to both fronts whose answers have at most `max_tokens` tokens, streamed or not.
+fn requests_with_token_limit(router: &TestRouter, max_tokens: u32) -> Vec<(SocketAddr, String)> {
+    let limit = format!("\"max_tokens\":{max_tokens}");
+    let body = MESSAGES_BODY.replace("\"max_tokens\":64", &limit);
+    let extra = format!("Req-Extra: prompt_len=4,max_out={max_tokens}\r\n");
+    vec![
+        (router.addr, platform_request(&extra, "{}")),
+        (router.messages_addr, messages_request("", &body)),
+        (router.messages_addr, messages_request("", &body.replace("\"stream\":true", "\"stream\":false"))),
+    ]
+}
+
+/// Sends all but the last byte of a request, begins the shutdown, and sends the last byte once the listeners are closed.
+/// Returns the client, and the task of the shutdown.
+async fn complete_while_closing(
+    router: &TestRouter,
+    addr: SocketAddr,
+    request: &str,
+) -> (Client, JoinHandle<()>) {
+    let (start, last_byte) = request.split_at(request.len() - 1);
+    let mut client = Client::connect(addr).await;
+    client.send(start).await;
+    let components = router.components.clone();
+    let drain_task = spawn_local(async move { shutdown::drain(&components).await });
+    while TcpStream::connect(addr).await.is_ok() {
+        tokio::time::sleep(MS).await;
+    }
+    tokio::time::sleep(router.components.limits.final_read_duration * 3).await;
+    client.send(last_byte).await;
+    (client, drain_task)
+}
+
+/// Guards against forwarding a request that becomes complete while the router closes, and whose stream the kill would cut.
+#[test]
+fn a_request_completed_while_closing_is_rejected_if_its_answer_may_outlast_the_process() {
+    run_test(async {
+        for (case, status) in [(0, 503), (1, 529), (2, 529)] {
+            let replica = MockReplica::new(Chat).await;
+            let router = router_without_resumption(&replica).await;
+            let (addr, request) = requests_with_token_limit(&router, 400).swap_remove(case);
+            let (mut client, drain_task) = complete_while_closing(&router, addr, &request).await;
+            assert_eq!(client.read_answer().await.0, status, "case {case}");
+            assert_eq!(replica.take_counts(), (0, 0), "case {case}: no request reaches the replica");
+            assert_eq!(router.request_counts().rejected_by_shutdown, 1, "case {case}");
+            drop(client);
+            drain_task.await.unwrap();
+        }
+    });
+}
+
+/// Guards against rejecting requests whose short answers can still end, and those that clients can resume elsewhere.
+#[test]
+fn a_request_completed_while_closing_is_served_if_its_answer_can_end_or_be_resumed() {
+    run_test(async {
+        for (max_tokens, resumes_streams, case) in
+            [(20, false, 0), (20, false, 1), (20, false, 2), (400, true, 0)]
+        {
+            let replica = MockReplica::new(Chat).await;
+            let router = if resumes_streams {
+                TestRouter::new(Chat, &[&replica], |limits| limits.shutdown_grace = 5 * MS).await
+            } else {
+                router_without_resumption(&replica).await
+            };
+            let (addr, request) = requests_with_token_limit(&router, max_tokens).swap_remove(case);
+            let (mut client, drain_task) = complete_while_closing(&router, addr, &request).await;
+            let (status, _, _, complete) = client.read_answer().await;
+            assert_eq!((status, complete), (200, true), "case {case}, at most {max_tokens} tokens");
+            drop(client);
+            drain_task.await.unwrap();
+        }
+    });
+}
+
+/// Guards against beginning a stream so late that the kill would cut it: the request gets an error instead.
+#[test]
+fn a_request_completed_while_closing_fails_if_its_first_token_comes_too_late() {
+    run_test(async {
+        let replica = MockReplica::new(Chat).await;
+        replica.add_faults(&[ReplicaFault::NoAnswer]);
+        let router = router_without_resumption(&replica).await;
+        // 50 tokens take 2.5 s of the 3 s until the end, and 0.06 s and more have passed.
+        let (addr, request) = requests_with_token_limit(&router, 50).swap_remove(0);
+        let (mut client, drain_task) = complete_while_closing(&router, addr, &request).await;
+        let sent_at = Instant::now();
+        replica.next_request().await;
+        let status = client.read_answer().await.0;
+        assert!(status == 503 || status == 504, "status {status}");
+        assert!(sent_at.elapsed() < 1000 * MS, "answered after {:?}", sent_at.elapsed());
+        assert_eq!(replica.next_event().await, ReplicaEvent::ClosedByRouter);
+        drop(client);
+        drain_task.await.unwrap();
+    });
+}
+
 /// Guards against cutting a stream whose client cannot resume it: the stream may end before the process is killed.
 #[test]
 fn a_late_stream_continues_past_the_final_answers_unless_clients_resume_streams() {
--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -32,6 +32,15 @@
     assert_no_violations(&report);
 }
 
+/// Clients that write their requests slowly into the shutdown: the router once forwarded those that became complete
+/// too late, and the kill cut their streams.
+#[test]
+fn shutdown_does_not_begin_streams_that_the_kill_cuts() {
+    let report = run("127.2.9.3", &Scenario::slow_writers(1));
+    assert!(report.statuses.contains_key(&503), "no request was completed late: {report:?}");
+    assert_no_violations(&report);
+}
+
 /// Number of runs in parallel.
 const PARALLEL_RUNS: u64 = 4;
 
--- a/test-support/src/shutdown_runs/client.rs
+++ b/test-support/src/shutdown_runs/client.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::rules::MAX_RESPONSE_DELAY;
-use super::scenario::Class;
+use super::scenario::{Class, Scenario};
 use super::Run;
 use crate::http_connection::HttpConnection;
 
@@ -85,10 +85,12 @@
 }
 
 impl SendOptions {
-    fn random(rng: &mut fastrand::Rng) -> SendOptions {
+    fn random(rng: &mut fastrand::Rng, scenario: &Scenario) -> SendOptions {
+        let max_pause_ms = scenario.max_write_pause.as_millis() as u64;
         SendOptions {
             stalls: rng.u8(..40) == 0,
-            pause: (rng.u8(..12) == 0).then(|| Duration::from_millis(rng.u64(1..700))),
+            pause: (rng.u8(..scenario.slow_writes_one_in) == 0)
+                .then(|| Duration::from_millis(rng.u64(1..max_pause_ms))),
             disconnect_after: (rng.u8(..16) == 0).then(|| Duration::from_millis(rng.u64(..300))),
             body_bytes: if rng.u8(..10) == 0 { rng.usize(10_000..150_000) } else { rng.usize(2..500) },
         }
@@ -131,7 +133,7 @@
                 (format!("c{number}-{requests_sent}"), class)
             });
             run.wait_out_idle_period().await;
-            let options = SendOptions::random(&mut rng);
+            let options = SendOptions::random(&mut rng, &run.scenario);
             if options.stalls {
                 // Whatever its deadline, an incomplete request has to be answered or its connection closed within
                 // `STALLED_REQUEST_TIMEOUT`.
@@ -173,7 +175,7 @@
         ended_at: None,
         outcome: Outcome::Open,
     });
-    let outcome = match send(connection, id, class, &options).await {
+    let outcome = match send(connection, id, class, run.scenario.longest_answer().tokens, &options).await {
         Err(_) => Outcome::Closed,
         Ok(()) if options.stalls => {
             timeout(STALLED_REQUEST_TIMEOUT, read(run, connection, index)).await.unwrap_or(Outcome::TimedOut)
@@ -216,12 +218,13 @@
     connection: &mut HttpConnection,
     id: &str,
     class: &Class,
+    max_tokens: u32,
     options: &SendOptions,
 ) -> io::Result<()> {
     let body = "x".repeat(options.body_bytes);
     let message = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nReq-Id: {id}\r\nReq-Kind: {}\r\nReq-Owner: t\r\n\
-         Req-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
+         Req-Deadline-Ms: {}\r\nReq-Extra: max_out={max_tokens}\r\nContent-Length: {}\r\n\r\n{body}",
         class.name,
         class.deadline.as_millis(),
         body.len()
--- a/test-support/src/shutdown_runs/mod.rs
+++ b/test-support/src/shutdown_runs/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod pauses;
 mod process;
+mod random_scenario;
 mod replica;
 mod rules;
 mod scenario;
--- a/test-support/src/shutdown_runs/scenario.rs
+++ b/test-support/src/shutdown_runs/scenario.rs
@@ -136,6 +136,10 @@
     pub reloads: bool,
     /// Number of clients that send requests.
     pub clients: usize,
+    /// One request in this many is written in two parts with a pause between them.
+    pub slow_writes_one_in: u8,
+    /// Upper bound of that pause.
+    pub max_write_pause: Duration,
     /// Number of clients that connect and send nothing.
     pub idle_clients: usize,
     /// Time from the first request to SIGTERM, without the idle period.
@@ -154,12 +158,27 @@
     pub socket_faults: Option<SocketFaults>,
 }
 
+/// Upper bounds of the longest answer of any replica; one event carries one token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LongestAnswer {
+    /// Number of tokens.
+    pub tokens: u32,
+    /// Time between two tokens.
+    pub token_interval: Duration,
+}
+
+/// One request in this many is written slowly, unless a scenario says otherwise.
+pub(super) const SLOW_WRITES_ONE_IN: u8 = 12;
+/// Upper bound of the pause in a slow write.
+pub(super) const MAX_WRITE_PAUSE: Duration = Duration::from_millis(700);
+/// The same for scenarios with long pauses: a router allows 2.5 s for reading a request.
+pub(super) const LONG_MAX_WRITE_PAUSE: Duration = Duration::from_millis(2000);
 /// Longest deadline that delays SIGKILL.
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 /// Minimum time between that deadline and SIGKILL.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
-fn ms(ms: u64) -> Duration {
+pub(super) fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -192,6 +211,8 @@
             changes: Vec::new(),
             reloads: false,
             clients: 24,
+            slow_writes_one_in: SLOW_WRITES_ONE_IN,
+            max_write_pause: MAX_WRITE_PAUSE,
             idle_clients: 0,
             load_time: ms(500),
             idle_period: Duration::ZERO,
@@ -203,40 +224,23 @@
         }
     }
 
-    /// Returns the random scenario of a seed.
-    pub fn random(seed: u64) -> Scenario {
-        let rng = &mut fastrand::Rng::with_seed(seed);
-        let long_deadlines = rng.u8(..6) == 0;
-        let classes = random_classes(rng, long_deadlines);
-        let replicas = rng.usize(3..8);
-        let all_hang = rng.u8(..3) == 0;
-        let replicas: Vec<_> = (0..replicas).map(|n| random_replica(rng, n, all_hang)).collect();
-        let signals = (0..rng.usize(..5))
-            .map(|_| Signal { name: ["-TERM", "-HUP", "-INT"][rng.usize(..3)], after: ms(rng.u64(1..1500)) });
-        let signals = signals.collect();
-        let pauses =
-            (0..rng.usize(..3) * rng.usize(..2)).map(|_| (ms(rng.u64(..2500)), ms(rng.u64(20..140))));
-        let pauses = pauses.collect();
+    /// Clients that write slowly into the shutdown, and cannot resume an answer that the kill cuts.
+    pub fn slow_writers(seed: u64) -> Scenario {
+        let answer = ReplicaBehaviour::Serve { first_event_after: ms(20), events: 100, gap: ms(30) };
+        let replica = |cell| ReplicaScenario {
+            zone: 0,
+            cell,
+            behaviours: vec![answer],
+            hangs_after: None,
+            idle_close: ms(5000),
+        };
         Scenario {
-            seed,
-            classes,
-            max_attempts: rng.u32(1..5),
-            parallel_attempts: rng.bool(),
-            cancel: rng.u8(..4) > 0,
-            resume: rng.u8(..4) > 0,
-            router_count: rng.u32(1..4),
-            changes: random_changes(rng, &replicas),
-            replicas,
-            reloads: rng.bool(),
-            clients: rng.usize(8..48),
-            idle_clients: if rng.u8(..4) == 0 { rng.usize(50..400) } else { 0 },
-            load_time: ms(rng.u64(150..900)),
-            idle_period: random_idle_period(seed),
-            list_outage: random_list_outage(seed),
-            signals,
-            pauses,
-            kill_delay: ms(rng.u64(..60)),
-            socket_faults: None,
+            classes: vec![Class { name: "pure".into(), effect: Effect::Pure, deadline: ms(4000) }],
+            resume: false,
+            replicas: (0..4).map(replica).collect(),
+            slow_writes_one_in: 2,
+            max_write_pause: LONG_MAX_WRITE_PAUSE,
+            ..Scenario::hanging_replicas(seed)
         }
     }
 
@@ -246,6 +250,20 @@
         longest.min(MAX_COUNTED_DEADLINE) + KILL_MARGIN
     }
 
+    /// The longest answers that the replicas give.
+    pub fn longest_answer(&self) -> LongestAnswer {
+        let behaviours = self.replicas.iter().flat_map(|replica| &replica.behaviours);
+        let streams = behaviours.filter_map(|behaviour| match *behaviour {
+            ReplicaBehaviour::Serve { events, gap, .. } => Some((events, gap)),
+            _ => None,
+        });
+        let none = LongestAnswer { tokens: 1, token_interval: ms(1) };
+        streams.fold(none, |longest, (events, gap)| LongestAnswer {
+            tokens: longest.tokens.max(events + 1),
+            token_interval: longest.token_interval.max(gap),
+        })
+    }
+
     /// Returns a replica's row of the endpoint list.
     pub fn row(&self, number: usize, at: SocketAddr, draining: bool) -> String {
         let replica = &self.replicas[number];
@@ -270,11 +288,13 @@
             json!({"Name": c.name, "Effect": effect, "Group": group, "WindowNs": window.as_nanos() as u64,
                 "DeadlineNs": c.deadline.as_nanos() as u64, "GoalTimeNs": c.deadline.as_nanos() as u64 / 3, "Worth": 1.0})
         };
+        let token_interval_ns = self.longest_answer().token_interval.as_nanos() as u64;
         json!({
             "name": "n0", "listen": listen, "discovery": list, "seed": format!("{:x}", self.seed),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "peers": [],
             "settings": {
-                "Discovery": "on_request", "Family": "llm", "FamilyInfo": {"Resume": self.resume},
+                "Discovery": "on_request", "Family": "llm", "FamilyInfo": {"Resume": self.resume,
+                    "TokenAimNs": vec![token_interval_ns; classes.len()]},
                 "Kinds": ["k"], "Zones": [zone(0), zone(1)], "Me": 0, "MyZone": 0, "ReplicasOfMe": self.router_count,
                 "Limits": {"Cancel": self.cancel, "ConnectTimeoutNs": 150_000_000u64, "IdleCloseNs": 5_000_000_000u64,
                     "MaxRetryAfterNs": 2_000_000_000u64, "MostHeld": 1000, "ParallelTries": self.parallel_attempts,
@@ -289,71 +309,6 @@
     }
 }
 
-/// Returns the idle period: one scenario in eight has one, in some of them longer than connections may stay idle.
-fn random_idle_period(seed: u64) -> Duration {
-    let mut rng = fastrand::Rng::with_seed(seed ^ 0x1u64.rotate_left(40));
-    if rng.u8(..8) == 0 {
-        ms(rng.u64(500..4500))
-    } else {
-        Duration::ZERO
-    }
-}
-
-/// Returns the outage of the endpoint list that one scenario in four has.
-fn random_list_outage(seed: u64) -> Option<(Duration, Duration)> {
-    let mut rng = fastrand::Rng::with_seed(seed ^ 0x1u64.rotate_left(41));
-    (rng.u8(..4) == 0).then(|| (ms(rng.u64(..1500)), ms(rng.u64(300..6000))))
-}
-
 fn zone(number: usize) -> &'static str {
     ["a", "b"][number % 2]
 }
-
-fn random_classes(rng: &mut fastrand::Rng, long_deadlines: bool) -> Vec<Class> {
-    let group = [Group::All, Group::Zone, Group::Cell][rng.usize(..3)];
-    let window = ms(rng.u64(200..1500));
-    let effects = [Effect::SideEffect, Effect::Token(group, window), Effect::Pure];
-    let deadlines_ms: &[u64] = if long_deadlines { &[1200, 2400, 4000] } else { &[500, 800, 1200] };
-    let class =
-        |(n, effect)| Class { name: format!("c{n}"), effect, deadline: ms(deadlines_ms[rng.usize(..3)]) };
-    effects.into_iter().enumerate().map(class).collect()
-}
-
-fn random_changes(rng: &mut fastrand::Rng, replicas: &[ReplicaScenario]) -> Vec<Change> {
-    let count = rng.usize(..5);
-    let change = |_| {
-        let kind = match rng.bool() {
-            true => ChangeKind::Drains,
-            false => ChangeKind::Fails(ms(rng.u64(5..600))),
-        };
-        Change { at: ms(rng.u64(..2500)), replica: rng.usize(1..replicas.len()), kind }
-    };
-    let mut changes: Vec<Change> = (0..count).map(change).collect();
-    changes.sort_by_key(|c| c.at);
-    changes
-}
-
-fn random_replica(rng: &mut fastrand::Rng, number: usize, all_hang: bool) -> ReplicaScenario {
-    let serve = |rng: &mut fastrand::Rng| ReplicaBehaviour::Serve {
-        first_event_after: ms(rng.u64(1..120)),
-        events: rng.u32(1..12),
-        gap: ms(rng.u64(1..60)),
-    };
-    let mut behaviours: Vec<_> = (0..rng.usize(1..6)).map(|_| serve(rng)).collect();
-    let faults = [
-        ReplicaBehaviour::Hang,
-        ReplicaBehaviour::Decline,
-        ReplicaBehaviour::Error,
-        ReplicaBehaviour::Close,
-        ReplicaBehaviour::CloseMidStream,
-        ReplicaBehaviour::SecondResponse,
-    ];
-    behaviours.extend((0..rng.usize(..4)).map(|_| faults[rng.usize(..faults.len())]));
-    ReplicaScenario {
-        zone: number % 2,
-        cell: number / 2,
-        behaviours,
-        hangs_after: (all_hang || rng.u8(..4) == 0).then(|| ms(rng.u64(..900))),
-        idle_close: ms(rng.u64(50..4000)),
-    }
-}
