Name the memory budget after what it is, not after request bodies

The type and its module are about to serve a second budget, of input that clients send ahead. BodyBudget is MemoryBudget, BodyReservation is MemoryReservation, body_budget.rs is memory_budget.rs; the fields keep their names. Behaviour is unchanged: the tests of the library, of layers and of rough connections pass.

--- a/router/src/checks/context.rs
+++ b/router/src/checks/context.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 
 use crate::balancer_interface::BalancerInterface;
-use crate::body_budget::BodyBudget;
 use crate::clients::Clients;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list_state::EndpointListState;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::peers::Peers;
 use crate::replica::ReplicaPool;
 
@@ -31,7 +31,7 @@
     /// The state of the endpoint list, with the time of its last update.
     pub endpoint_list: Rc<EndpointListState>,
     /// The memory for request bodies.
-    pub body_budget: BodyBudget,
+    pub body_budget: MemoryBudget,
     /// The dispatcher, for the counts and views of the core.
     pub dispatcher: Rc<Dispatcher>,
 }
--- a/router/src/components.rs
+++ b/router/src/components.rs
@@ -9,7 +9,6 @@
 use tokio::task::JoinSet;
 
 use crate::balancer_interface::BalancerInterface;
-use crate::body_budget::BodyBudget;
 use crate::checks::CheckContext;
 use crate::clients::Clients;
 use crate::clock::Clock;
@@ -23,6 +22,7 @@
 use crate::front::FrontContext;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::peers::{self, Peers};
 use crate::replica::{self, ReplicaContext, ReplicaPool};
 use crate::request_ids::RequestIds;
@@ -52,7 +52,7 @@
     /// The identifiers of open and recent requests.
     pub request_ids: Rc<RequestIds>,
     /// The memory budget for request bodies.
-    pub body_budget: BodyBudget,
+    pub body_budget: MemoryBudget,
     /// The dispatcher, which runs the core.
     pub dispatcher: Rc<Dispatcher>,
     /// The background tasks of the router, which are aborted when this is dropped.
@@ -97,7 +97,7 @@
         });
         Ok(Rc::new(Components {
             clients: Clients::new(limits.max_clients, limits.client_eviction_idle_time),
-            body_budget: BodyBudget::new(limits.body_budget),
+            body_budget: MemoryBudget::new(limits.body_budget),
             balancer_interface: Rc::default(),
             tasks: RefCell::default(),
             deployment,
--- a/router/src/dispatcher.rs
+++ b/router/src/dispatcher.rs
@@ -13,11 +13,11 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
 
-use crate::body_budget::BufferedBody;
 use crate::clock::Clock;
 use crate::core::{AbortReason, AnswerCause, Core, FinalAnswer, Instruction, NewRequest, RequestSummary};
 use crate::dialect::StreamEvent;
 use crate::limits::Limits;
+use crate::memory_budget::BufferedBody;
 use crate::request_ids::{RequestIdGuard, RequestIds};
 
 /// An event of a submitted request, for its front.
--- a/router/src/front/connection.rs
+++ b/router/src/front/connection.rs
@@ -12,11 +12,11 @@
 use super::FrontContext;
 use super::{Front, IncomingRequest, Rejection};
 use crate::balancer_interface::ConnectionOrigin;
-use crate::body_budget::BufferedBody;
 use crate::clients::{Client, IdleGuard};
 use crate::http::{BodyFraming, BodyPart, BodyReader, BufferedConnection, HttpError, MessageHead, StartLine};
 use crate::keep_alive::{AfterAnswer, IdleLimit, KeepAlive};
 use crate::lifecycle::Stage;
+use crate::memory_budget::BufferedBody;
 
 /// Why a client connection is closed. The names appear in the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/router/src/front/context.rs
+++ b/router/src/front/context.rs
@@ -5,12 +5,12 @@
 use tallypin::deployment::Deployment;
 
 use crate::balancer_interface::BalancerInterface;
-use crate::body_budget::BodyBudget;
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::dispatcher::Dispatcher;
 use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::replica::ReplicaPool;
 use crate::request_ids::RequestIds;
 
@@ -33,7 +33,7 @@
     /// Generates identifiers for requests that carry none.
     pub request_ids: Rc<RequestIds>,
     /// The memory budget for request bodies.
-    pub body_budget: BodyBudget,
+    pub body_budget: MemoryBudget,
     /// Forwards requests to replicas.
     pub dispatcher: Rc<Dispatcher>,
 }
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -23,12 +23,12 @@
 use tokio::time::timeout;
 
 use crate::balancer_interface::ListenerKind;
-use crate::body_budget::BufferedBody;
 use crate::core::FinalAnswer;
 use crate::dispatcher::{RequestHandle, ResponseEvent};
 use crate::http::{reason_phrase, BufferedConnection, HttpError, MessageHead};
 use crate::keep_alive::AfterAnswer;
 use crate::lifecycle::Stage;
+use crate::memory_budget::BufferedBody;
 
 /// A protocol that clients speak.
 pub enum Front {
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -12,11 +12,11 @@
     next_event, retry_after_seconds, take_stream_head, write, write_chunk, write_response, AfterAnswer,
     IncomingRequest, NextEvent, Rejection,
 };
-use crate::body_budget::BufferedBody;
 use crate::core::{FinalAnswer, NewRequest};
 use crate::dialect::{ChatWriter, ConversationRequest, Dialect};
 use crate::dispatcher::{ResponseEvent, UpstreamRequest};
 use crate::http::{BufferedConnection, HttpError};
+use crate::memory_budget::BufferedBody;
 
 /// The path of requests.
 const REQUEST_PATH: &[u8] = b"/v1/chat/completions";
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -4,7 +4,7 @@
 
 pub mod balancer_interface;
 pub mod bind;
-pub mod body_budget;
+
 pub mod checks;
 pub mod clients;
 pub mod clock;
@@ -24,6 +24,7 @@
 pub mod lifecycle;
 pub mod limits;
 pub mod log;
+pub mod memory_budget;
 pub mod operator_override;
 pub mod peers;
 pub mod probe;
--- a/router/src/body_budget.rs
+++ b/router/src/memory_budget.rs
@@ -7,18 +7,18 @@
 
 /// The remaining memory for request bodies, in bytes.
 #[derive(Debug, Clone)]
-pub struct BodyBudget(Rc<Cell<usize>>);
+pub struct MemoryBudget(Rc<Cell<usize>>);
 
-impl BodyBudget {
+impl MemoryBudget {
     /// Creates a budget of `bytes` bytes.
-    pub fn new(bytes: usize) -> BodyBudget {
-        BodyBudget(Rc::new(Cell::new(bytes)))
+    pub fn new(bytes: usize) -> MemoryBudget {
+        MemoryBudget(Rc::new(Cell::new(bytes)))
     }
 
     /// Reserves `size` bytes; `None` if fewer are available.
-    pub fn reserve(&self, size: usize) -> Option<BodyReservation> {
+    pub fn reserve(&self, size: usize) -> Option<MemoryReservation> {
         self.0.set(self.0.get().checked_sub(size)?);
-        Some(BodyReservation { size, budget: self.clone() })
+        Some(MemoryReservation { size, budget: self.clone() })
     }
 
     /// Number of available bytes.
@@ -29,12 +29,12 @@
 
 /// A reservation in the budget, returned to it when dropped.
 #[derive(Debug)]
-pub struct BodyReservation {
+pub struct MemoryReservation {
     size: usize,
-    budget: BodyBudget,
+    budget: MemoryBudget,
 }
 
-impl BodyReservation {
+impl MemoryReservation {
     /// Grows the reservation to `to` bytes in total. Returns false and changes nothing if the budget has too few bytes. Never
     /// shrinks the reservation.
     pub fn grow(&mut self, to: usize) -> bool {
@@ -46,7 +46,7 @@
     }
 }
 
-impl Drop for BodyReservation {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.budget.0.set(self.budget.0.get() + self.size);
     }
@@ -58,7 +58,7 @@
     /// The body.
     pub bytes: Bytes,
     /// The reservation in the budget.
-    pub reserved: BodyReservation,
+    pub reserved: MemoryReservation,
 }
 
 #[cfg(test)]
--- a/router/src/body_budget/tests.rs
+++ b/router/src/memory_budget/tests.rs
@@ -1,8 +1,8 @@
-use super::BodyBudget;
+use super::MemoryBudget;
 
 #[test]
 fn a_dropped_reservation_is_returned_to_the_budget() {
-    let budget = BodyBudget::new(100);
+    let budget = MemoryBudget::new(100);
     let mut body = budget.reserve(40).expect("enough is left");
     assert!(budget.reserve(61).is_none());
     assert!(body.grow(100) && budget.available() == 0);
@@ -12,7 +12,7 @@
 
 #[test]
 fn a_reservation_that_cannot_grow_is_unchanged() {
-    let budget = BodyBudget::new(100);
+    let budget = MemoryBudget::new(100);
     let mut body = budget.reserve(40).expect("enough is left");
     assert!(!body.grow(101));
     assert!(body.grow(10), "a reservation never shrinks");
--- a/router/tests/layers.rs
+++ b/router/tests/layers.rs
@@ -19,7 +19,7 @@
         name: "basics",
         purpose: "values and utilities independent of requests: sizes, times, the clock, HTTP, the dialects, configuration files",
         modules: &[
-            "shortage", "clock", "lifecycle", "limits", "log", "bind", "http", "body_budget", "request_ids", "clients",
+            "shortage", "clock", "lifecycle", "limits", "log", "bind", "http", "memory_budget", "request_ids", "clients",
             "keep_alive", "balancer_interface", "probe", "endpoint_list::message", "config", "dialect",
         ],
     },
