Read client connections while a request waits, so that a close is seen behind any input

Cause: next_event (front/mod.rs) read 16 KiB ahead and then only asked every 20 ms whether the connection was closed. TCP delivers a close behind all data before it: with the receive window full it does not reach the router's machine. Evidence: /proc/net/tcp sampled during the case: the client's end in FIN_WAIT1 with 641,408 bytes unacknowledged, the router's end ESTABLISHED, not CLOSE_WAIT, with 97,125 bytes unread, until the router's first write; in the log attempt 1 started and written 0.1 ms apart, and ClientDisconnected 0.37 s after it. That rules out a missed check, a busy router, a late write, and a timer that was not stopped.

Change: while a request is answered its connection is always read. Requests sent ahead are kept up to 1 MiB a connection and a sixteenth of the memory in all; beyond that a scanner finds the ends of requests in input that is not kept, and they are counted and rejected in their turn. A close is logged with what was received. The check of closed connections is gone.

--- a/router/src/components.rs
+++ b/router/src/components.rs
@@ -53,6 +53,8 @@
     pub request_ids: Rc<RequestIds>,
     /// The memory budget for request bodies.
     pub body_budget: MemoryBudget,
+    /// The memory budget for input beyond the requests that are being answered.
+    pub read_ahead_budget: MemoryBudget,
     /// The dispatcher, which runs the core.
     pub dispatcher: Rc<Dispatcher>,
     /// The background tasks of the router, which are aborted when this is dropped.
@@ -98,6 +100,7 @@
         Ok(Rc::new(Components {
             clients: Clients::new(limits.max_clients, limits.client_eviction_idle_time),
             body_budget: MemoryBudget::new(limits.body_budget),
+            read_ahead_budget: MemoryBudget::new(limits.read_ahead_budget),
             balancer_interface: Rc::default(),
             tasks: RefCell::default(),
             deployment,
@@ -142,6 +145,7 @@
             replicas: self.replicas.clone(),
             request_ids: self.request_ids.clone(),
             body_budget: self.body_budget.clone(),
+            read_ahead_budget: self.read_ahead_budget.clone(),
             dispatcher: self.dispatcher.clone(),
         })
     }
--- a/router/src/front/connection.rs
+++ b/router/src/front/connection.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 
-use super::FrontContext;
+use super::{ClientConnection, FrontContext};
 use super::{Front, IncomingRequest, Rejection};
 use crate::balancer_interface::ConnectionOrigin;
 use crate::clients::{Client, IdleGuard};
@@ -50,14 +50,16 @@
     // The guard is kept until the connection has closed. The connection counts as closing until then, so that no second
     // idle connection is closed for the same slot.
     let mut idle = Some(idle);
-    let mut connection = BufferedConnection::new(stream);
+    let wire = BufferedConnection::new(stream);
+    let mut connection =
+        ClientConnection::new(wire, context.limits.clone(), context.read_ahead_budget.clone());
     let cause = serve_requests(&context, &client, &mut idle, &mut connection, &front).await;
     tracing::debug!(target: "front", ?cause, stage = ?context.lifecycle.stage(), "closing client connection");
     match cause {
         CloseCause::NoOrigin | CloseCause::ReadFailed(_) | CloseCause::WriteFailed(_) => {}
-        CloseCause::RoomWanted => close_gracefully(connection, context.limits.final_read_duration).await,
+        CloseCause::RoomWanted => close_gracefully(connection.wire, context.limits.final_read_duration).await,
         CloseCause::Ended | CloseCause::Idle | CloseCause::Shutdown | CloseCause::Answered(_) => {
-            close_gracefully(connection, context.limits.close_linger).await
+            close_gracefully(connection.wire, context.limits.close_linger).await
         }
     }
 }
@@ -67,31 +69,36 @@
     context: &Rc<FrontContext>,
     client: &Client,
     idle: &mut Option<IdleGuard>,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     front: &Front,
 ) -> CloseCause {
     let over_limit = client.over_limit;
     let origin = tokio::select! {
         biased;
-        origin = context.balancer_interface.read_origin(front.listener_kind(), connection) => origin,
+        origin = context.balancer_interface.read_origin(front.listener_kind(), &mut connection.wire) => origin,
         () = wait_for_close_request(idle) => return CloseCause::RoomWanted,
     };
     let Some(ConnectionOrigin { client: client_address }) = origin else { return CloseCause::NoOrigin };
     let mut keep_alive = KeepAlive::new(Instant::now(), over_limit);
     loop {
+        if connection.next_request_was_dropped().await {
+            *idle = None;
+            return reject_dropped_requests(context, connection, front).await;
+        }
         let idle_limit = keep_alive.idle_limit(&context.limits);
         if let Err(cause) = wait_for_request(context, idle, connection, idle_limit).await {
             return cause;
         }
         *idle = None;
-        let received_at = context.clock.at(connection.first_read_at());
+        let received_at = context.clock.at(connection.wire.first_read_at());
         let start = keep_alive.request_started(Instant::now(), &context.limits);
         if let Some(pause) = start.pause {
             tokio::time::sleep(pause).await;
         }
-        let read = timeout_at(start.complete_by.into(), read_request(context, connection, received_at));
+        let read =
+            timeout_at(start.complete_by.into(), read_request(context, &mut connection.wire, received_at));
         let request = read.await.unwrap_or(Ok(Err(Rejection::Slow)));
-        connection.message_consumed();
+        connection.wire.message_consumed();
         let request = match request {
             Ok(request) => request.map(|r| IncomingRequest { client: client_address, ..r }),
             Err(e) => return CloseCause::ReadFailed(e.kind()),
@@ -124,6 +131,28 @@
     }
 }
 
+/// Rejects the requests that the client has sent beyond the limit of what is read ahead, and has the connection closed. One that
+/// has not been received completely is read to its end first.
+async fn reject_dropped_requests(
+    context: &Rc<FrontContext>,
+    connection: &mut ClientConnection,
+    front: &Front,
+) -> CloseCause {
+    let read = timeout(context.limits.request_read_timeout, connection.finish_dropped_request()).await;
+    if read == Ok(false) {
+        return CloseCause::Ended;
+    }
+    let dropped = connection.dropped_requests();
+    tracing::debug!(target: "front", dropped, "rejecting requests sent ahead beyond the limit");
+    for _ in 0..dropped {
+        if let Err(e) = front.reject(context, connection, Rejection::Full).await {
+            return CloseCause::WriteFailed(e.kind());
+        }
+        tokio::task::yield_now().await;
+    }
+    CloseCause::Answered(AfterAnswer::Close)
+}
+
 /// Waits until an idle connection is to be closed to make room for others.
 async fn wait_for_close_request(idle: &mut Option<IdleGuard>) {
     match idle {
@@ -136,10 +165,10 @@
 async fn wait_for_request(
     context: &FrontContext,
     idle: &mut Option<IdleGuard>,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     idle_limit: IdleLimit,
 ) -> Result<(), CloseCause> {
-    if !connection.read_buffer.is_empty() {
+    if !connection.wire.read_buffer.is_empty() {
         // Yields between pipelined requests: events of other connections would otherwise wait for all of them.
         tokio::task::yield_now().await;
         return Ok(());
@@ -147,10 +176,10 @@
     connection.release_buffer();
     let read = tokio::select! {
         biased;
-        read = connection.read_more() => read,
+        read = connection.wire.read_more() => read,
         () = wait_for_stage(context, idle_limit.until) => return Err(CloseCause::Shutdown),
         // A request may have arrived since the event loop last polled the sockets.
-        () = wait_for_close_request(idle) => match connection.read_arrived().await {
+        () = wait_for_close_request(idle) => match connection.wire.read_arrived().await {
             Some(read) => read,
             None => return Err(CloseCause::RoomWanted),
         },
--- a/router/src/front/context.rs
+++ b/router/src/front/context.rs
@@ -34,6 +34,8 @@
     pub request_ids: Rc<RequestIds>,
     /// The memory budget for request bodies.
     pub body_budget: MemoryBudget,
+    /// The memory budget for input beyond the requests that are being answered.
+    pub read_ahead_budget: MemoryBudget,
     /// Forwards requests to replicas.
     pub dispatcher: Rc<Dispatcher>,
 }
--- a/router/src/front/health.rs
+++ b/router/src/front/health.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use tallypin_health::assessment::HealthState;
 
-use super::{write, write_response, FrontContext};
-use crate::http::{reason_phrase, BufferedConnection};
+use super::{write, write_response, ClientConnection, FrontContext};
+use crate::http::reason_phrase;
 use crate::lifecycle::Stage;
 
 /// The health of a router.
@@ -60,7 +60,7 @@
 /// If the response cannot be written.
 pub async fn answer(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     is_head: bool,
 ) -> io::Result<()> {
     let health = FrontHealth::current(context);
--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -12,15 +12,15 @@
 use tallypin::api::{ClassId, Nanos, RejectReason, TenantId};
 use tallypin::name_hash;
 
-use super::FrontContext;
 use super::{
     next_event, retry_after_seconds, take_stream_head, write, write_chunk, write_response, AfterAnswer,
     IncomingRequest, NextEvent, Rejection,
 };
+use super::{ClientConnection, FrontContext};
 use crate::core::{FinalAnswer, NewRequest};
 use crate::dialect::{CollectedAnswer, ConversationRequest, Dialect, MessagesWriter, StreamEvent};
 use crate::dispatcher::{ResponseEvent, UpstreamRequest};
-use crate::http::{BufferedConnection, HttpError};
+use crate::http::HttpError;
 use crate::memory_budget::BufferedBody;
 
 /// The path of requests.
@@ -159,7 +159,7 @@
     pub async fn answer(
         &self,
         context: &Rc<FrontContext>,
-        connection: &mut BufferedConnection,
+        connection: &mut ClientConnection,
         request: IncomingRequest,
     ) -> io::Result<AfterAnswer> {
         let ParsedRequest { new_request, conversation, translated_body, idempotency_key } =
@@ -199,7 +199,7 @@
         let mut writer = MessagesWriter::new(&id, &conversation.model, prompt_tokens);
         let (mut collected, mut failed) = (CollectedAnswer::default(), false);
         loop {
-            let event = match next_event(context, connection, &mut handle).await {
+            let event = match next_event(connection, &mut handle).await {
                 NextEvent::Response(event) => event,
                 NextEvent::ClientDisconnected => return Ok(AfterAnswer::Close),
             };
@@ -310,7 +310,7 @@
 /// Writes an error response; its type follows from the status.
 async fn write_error(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     status: u16,
     fields: &str,
     message: &str,
@@ -332,7 +332,7 @@
 
 async fn write_invalid(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     error: InvalidRequest,
 ) -> io::Result<AfterAnswer> {
     match error {
@@ -347,7 +347,7 @@
 /// Answers a rejected request.
 pub async fn reject(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     rejection: Rejection,
 ) -> io::Result<AfterAnswer> {
     let (status, fields) = match rejection {
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -4,11 +4,13 @@
 //! connections, `connection` reads requests.
 
 mod accept;
+mod client_connection;
 mod connection;
 mod context;
 mod health;
 pub mod messages;
 pub mod platform;
+mod read_ahead;
 
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +18,7 @@
 
 pub use accept::serve;
 use bytes::{Buf, Bytes};
+pub use client_connection::ClientConnection;
 pub use connection::close_gracefully;
 pub use context::FrontContext;
 pub use messages::MessagesFront;
@@ -25,7 +28,7 @@
 use crate::balancer_interface::ListenerKind;
 use crate::core::FinalAnswer;
 use crate::dispatcher::{RequestHandle, ResponseEvent};
-use crate::http::{reason_phrase, BufferedConnection, HttpError, MessageHead};
+use crate::http::{reason_phrase, HttpError, MessageHead};
 use crate::keep_alive::AfterAnswer;
 use crate::lifecycle::Stage;
 use crate::memory_budget::BufferedBody;
@@ -119,34 +122,18 @@
     ClientDisconnected,
 }
 
-/// Waits for the next event of the response, or until the client closes its connection.
-pub async fn next_event(
-    context: &FrontContext,
-    connection: &mut BufferedConnection,
-    handle: &mut RequestHandle,
-) -> NextEvent {
-    loop {
-        // Input that arrives before the response is buffered up to the maximum head size; beyond that, the connection is
-        // only checked for having been closed.
-        let room = connection.read_buffer.len() < context.limits.max_head_size;
-        let is_connected = async {
-            match room {
-                true => matches!(connection.read_more().await, Ok(true)),
-                false => {
-                    connection.wait_until_closed(context.limits.client_disconnect_check_interval).await;
-                    false
-                }
-            }
-        };
-        tokio::select! {
-            biased;
-            // The channel is closed without a final event if this router cancelled the stream: the stream counts as interrupted.
-            event = handle.next() => {
-                return NextEvent::Response(event.unwrap_or(ResponseEvent::End(FinalAnswer::Interrupted)))
-            }
-            is_connected = is_connected => if !is_connected {
-                return NextEvent::ClientDisconnected;
-            },
+/// Waits for the next event of the response, or until the client closes its connection. Reads the client's input meanwhile.
+pub async fn next_event(connection: &mut ClientConnection, handle: &mut RequestHandle) -> NextEvent {
+    tokio::select! {
+        biased;
+        // The channel is closed without a final event if this router cancelled the stream: the stream counts as interrupted.
+        event = handle.next() => {
+            NextEvent::Response(event.unwrap_or(ResponseEvent::End(FinalAnswer::Interrupted)))
+        }
+        () = connection.read_until_closed() => {
+            tracing::debug!(target: "front", received = connection.wire.received(),
+                "client closed its connection before its answer was complete");
+            NextEvent::ClientDisconnected
         }
     }
 }
@@ -154,10 +141,10 @@
 /// Writes part of a response; fails with `TimedOut` if the client does not read it within the write timeout.
 pub async fn write(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     parts: impl Buf,
 ) -> io::Result<()> {
-    timeout(context.limits.client_write_timeout, connection.write(parts))
+    timeout(context.limits.client_write_timeout, connection.wire.write(parts))
         .await
         .map_err(|_| io::ErrorKind::TimedOut)?
 }
@@ -165,7 +152,7 @@
 /// Writes `head`, if it is not empty, and one chunk, with the same timeout as [`write()`].
 pub async fn write_chunk(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     head: Bytes,
     data: Bytes,
 ) -> io::Result<()> {
@@ -176,7 +163,7 @@
 /// Writes a complete response with `Content-Length`; `fields` are further header fields, each with its line end.
 pub async fn write_response(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     status: u16,
     fields: &str,
     body: Bytes,
@@ -243,7 +230,7 @@
     async fn answer(
         &self,
         context: &Rc<FrontContext>,
-        connection: &mut BufferedConnection,
+        connection: &mut ClientConnection,
         request: IncomingRequest,
     ) -> io::Result<AfterAnswer> {
         if self.is_health_check(&request) {
@@ -259,7 +246,7 @@
     async fn reject(
         &self,
         context: &FrontContext,
-        connection: &mut BufferedConnection,
+        connection: &mut ClientConnection,
         rejection: Rejection,
     ) -> io::Result<AfterAnswer> {
         match self {
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -7,15 +7,15 @@
 use tallypin::api::{ClassId, Nanos, RejectReason, TenantId};
 use tallypin::name_hash;
 
-use super::FrontContext;
 use super::{
     next_event, retry_after_seconds, take_stream_head, write, write_chunk, write_response, AfterAnswer,
     IncomingRequest, NextEvent, Rejection,
 };
+use super::{ClientConnection, FrontContext};
 use crate::core::{FinalAnswer, NewRequest};
 use crate::dialect::{ChatWriter, ConversationRequest, Dialect};
 use crate::dispatcher::{ResponseEvent, UpstreamRequest};
-use crate::http::{BufferedConnection, HttpError};
+use crate::http::HttpError;
 use crate::memory_budget::BufferedBody;
 
 /// The path of requests.
@@ -95,7 +95,7 @@
 /// Serves one request.
 pub async fn answer(
     context: &Rc<FrontContext>,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     request: IncomingRequest,
 ) -> io::Result<AfterAnswer> {
     let (new_request, id) = match parse_request(context, &request, context.clock.now()) {
@@ -140,7 +140,7 @@
     let mut writer = ChatWriter::default();
     let mut head_pending = true;
     loop {
-        match next_event(context, connection, &mut handle).await {
+        match next_event(connection, &mut handle).await {
             NextEvent::Response(ResponseEvent::Data(bytes, events)) => {
                 let bytes = if same_dialect { bytes } else { writer.write(&events) };
                 if bytes.is_empty() {
@@ -192,7 +192,7 @@
 /// Answers a rejected request.
 pub async fn reject(
     context: &FrontContext,
-    connection: &mut BufferedConnection,
+    connection: &mut ClientConnection,
     rejection: Rejection,
 ) -> io::Result<AfterAnswer> {
     let status = rejection.status();
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -2,6 +2,7 @@
 //!
 //! - `head`: reads the heads of requests and responses.
 //! - `body`: reads the parts of a body and finds its end.
+//! - `request_scanner`: finds the ends of requests in input that is not kept.
 //! - `connection`: a TCP connection with its read buffer and gathered writes.
 //!
 //! Ambiguous messages are rejected: another parser of the same bytes could read different messages (request smuggling).
@@ -9,10 +10,12 @@
 mod body;
 mod connection;
 mod head;
+mod request_scanner;
 
 pub use body::{BodyPart, BodyReader};
 pub use connection::BufferedConnection;
 pub use head::{BodyFraming, MessageHead, StartLine};
+pub use request_scanner::{RequestScanner, ScannedPiece};
 
 /// Why a message cannot be read. The connection cannot be used for another message afterwards.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
--- a/router/src/http/connection.rs
+++ b/router/src/http/connection.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 use crate::shortage::is_resource_shortage;
@@ -35,6 +34,8 @@
     last_read_at: Instant,
     /// Reads since the task last yielded.
     consecutive_reads: u8,
+    /// Number of bytes read since the connection was opened.
+    received: u64,
 }
 
 /// When a call that failed temporarily is to be retried.
@@ -72,9 +73,15 @@
             first_read_at: now,
             last_read_at: now,
             consecutive_reads: 0,
+            received: 0,
         }
     }
 
+    /// Number of bytes read since the connection was opened.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// When the first byte of the unconsumed input was read.
     pub fn first_read_at(&self) -> Instant {
         self.first_read_at
@@ -105,6 +112,7 @@
             match self.stream.try_read_buf(&mut self.read_buffer) {
                 Ok(read) => {
                     self.consecutive_reads += 1;
+                    self.received += read as u64;
                     self.last_read_at = Instant::now();
                     if was_empty {
                         self.first_read_at = self.last_read_at;
@@ -130,14 +138,6 @@
         }
     }
 
-    /// Waits until the peer has closed its side, even if unread input precedes the close. Checks every `interval`, as unread
-    /// input keeps the socket readable and would otherwise cause a busy loop.
-    pub async fn wait_until_closed(&self, interval: Duration) {
-        while self.stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
-            tokio::time::sleep(interval).await;
-        }
-    }
-
     /// Frees the buffer if it is empty, before a wait.
     pub fn release_buffer(&mut self) {
         if self.read_buffer.is_empty() {
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -28,6 +28,11 @@
     pub max_list_message_size: usize,
     /// Maximum total size of all request bodies, in bytes.
     pub body_budget: usize,
+    /// Maximum size of the requests that a client may send ahead while one is being answered, in bytes. Further ones are
+    /// rejected.
+    pub max_read_ahead: usize,
+    /// Maximum total size of all requests that clients have sent ahead, in bytes.
+    pub read_ahead_budget: usize,
     /// Maximum number of client connections served at once; further ones are answered 503 and closed.
     pub max_clients: usize,
     /// Maximum number of further client connections that are accepted only to be answered 503.
@@ -61,8 +66,6 @@
     pub immediate_retry_window: Duration,
     /// Pause before the next request on a connection is read after too many immediate retries.
     pub immediate_retry_pause: Duration,
-    /// Interval at which the router checks whether a client that has sent much data ahead has disconnected.
-    pub client_disconnect_check_interval: Duration,
     /// Time without write progress after which a client counts as disconnected.
     pub client_write_timeout: Duration,
     /// Time without an event after which a stream that has begun counts as broken.
@@ -138,6 +141,7 @@
     max_collected_answer_size: 1 << 20,
     default_max_tokens: 4096,
     max_list_message_size: 4 << 20,
+    max_read_ahead: 1 << 20,
     response_queue_length: 8,
     replica_reuse_delay: Duration::from_millis(20),
     client_idle_timeout: Duration::from_secs(20),
@@ -148,7 +152,6 @@
     max_immediate_retries: 8,
     immediate_retry_window: Duration::from_millis(20),
     immediate_retry_pause: Duration::from_millis(50),
-    client_disconnect_check_interval: Duration::from_millis(20),
     client_write_timeout: Duration::from_secs(30),
     stream_silence_timeout: Duration::from_secs(4),
     health_check_timeout: Duration::from_millis(500),
@@ -169,6 +172,7 @@
     status_interval: Duration::from_secs(5),
     min_retry_after: Duration::from_millis(100),
     body_budget: 0,
+    read_ahead_budget: 0,
     max_clients: 0,
     max_rejected_clients: 0,
     max_replica_connections: 0,
@@ -194,6 +198,7 @@
         let time_to_kill = longest_deadline.min(MAX_KILL_DEADLINE) + KILL_DELAY;
         Limits {
             body_budget: (memory_mb << 20) / 4,
+            read_ahead_budget: (memory_mb << 20) / 16,
             max_clients: usable.saturating_sub(max_replica_connections + max_rejected_clients).max(2),
             max_rejected_clients,
             max_replica_connections,
--- a/router/src/memory_budget.rs
+++ b/router/src/memory_budget.rs
@@ -1,11 +1,12 @@
-//! The memory budget that all request bodies share. A body's reservation is returned to the budget when it is dropped.
+//! Memory budgets that many requests share: of request bodies, and of input that is read ahead. A reservation is returned to
+//! its budget when it is dropped.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
 
-/// The remaining memory for request bodies, in bytes.
+/// The remaining memory of a budget, in bytes.
 #[derive(Debug, Clone)]
 pub struct MemoryBudget(Rc<Cell<usize>>);
 
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -561,6 +561,28 @@
     stream
 }
 
+/// Returns an address as `/proc/net/tcp` shows it.
+fn hex_address(address: SocketAddr) -> String {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port()),
+        std::net::IpAddr::V6(_) => panic!("the tests use IPv4"),
+    }
+}
+
+/// Whether the other end of a connection, which has to be on this machine, has read all that was sent.
+pub fn is_read_by_peer(stream: &TcpStream) -> bool {
+    let (own, peer) = (hex_address(stream.local_addr().unwrap()), hex_address(stream.peer_addr().unwrap()));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    // The fields after the addresses are the state, and the numbers of unacknowledged and of unread bytes.
+    let queues = |local: &str, remote: &str| {
+        let rest = table.split_once(&format!(" {local} {remote} "))?.1;
+        rest.split_ascii_whitespace().nth(1)?.split_once(':')
+    };
+    let unacknowledged = queues(&own, &peer).map(|(unacknowledged, _)| unacknowledged);
+    let unread = queues(&peer, &own).map(|(_, unread)| unread);
+    (unacknowledged, unread) == (Some("00000000"), Some("00000000"))
+}
+
 /// What [`wait_for_arrival`] waits for at the other end of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Arrival {
@@ -574,10 +596,6 @@
 /// not run meanwhile. Reads the state of the connections from `/proc/net/tcp`.
 pub fn wait_for_arrival(sockets: &[&std::net::TcpStream], arrival: Arrival) {
     const CLOSE_WAIT: &str = "08";
-    let hex_address = |address: SocketAddr| match address.ip() {
-        std::net::IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port()),
-        std::net::IpAddr::V6(_) => panic!("the tests use IPv4"),
-    };
     let ends: Vec<_> = sockets
         .iter()
         .map(|s| {
--- a/router/tests/gone.rs
+++ b/router/tests/gone.rs
@@ -4,6 +4,8 @@
 mod common;
 
 use common::*;
+use std::io::Write;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tallypin::name_hash;
 use tallypin_router::config::Config;
@@ -14,6 +16,13 @@
 /// first tokens take less than 30 ms. Without the bound a run without a hedged request lasts until the client's deadline of
 /// 4 s, and on a busy machine a few such runs exceed the test's time limit.
 const MAX_HEDGE_WAIT: Duration = Duration::from_millis(600);
+/// Time after the first attempt at which a hedged request is sent.
+const HEDGE_DELAY: Duration = Duration::from_millis(80);
+
+/// Upper bound of what the system passes on to a router that does not read, in bytes.
+const MAX_RECEIVE_WINDOW: usize = 128 << 10;
+/// Longest wait for a disconnect to be noticed. Without the bound a run that misses it lasts until the client's deadline of 4 s.
+const MAX_DISCONNECT_WAIT: Duration = Duration::from_secs(1);
 
 /// Guards against writing an attempt whose connection is established at the moment when its client disconnects.
 #[test]
@@ -140,6 +149,92 @@
     });
 }
 
+/// Input that a client may send ahead, of at least `size` bytes: complete requests, the start of an endless one, and input that
+/// is no request.
+fn inputs_sent_ahead(request: &str, size: usize) -> [String; 4] {
+    let endless = "Host: b\r\nContent-Length: 200000\r\n\r\n".to_string() + &"x".repeat(size);
+    [
+        request.repeat(size / request.len() + 1),
+        format!("POST /v1/messages HTTP/1.1\r\n{endless}"),
+        request.to_string()
+            + "POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + &"5\r\nabcde\r\n".repeat(size / 10),
+        "\0".repeat(size),
+    ]
+}
+
+/// Sends requests and input ahead, as much as the system accepts, and closes the connection.
+fn send_and_close(addr: SocketAddr, request: &str, input: &str) {
+    let mut stream = std::net::TcpStream::connect(addr).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let sent = stream.write(input.as_bytes()).unwrap();
+    assert!(sent > MAX_RECEIVE_WINDOW, "the system accepted {sent} bytes only");
+}
+
+/// Waits until the router has noticed that a client disconnected.
+async fn wait_for_disconnect(router: &TestRouter, closed_at: Instant) {
+    wait_until(|| {
+        assert!(closed_at.elapsed() < MAX_DISCONNECT_WAIT, "the disconnect was not noticed");
+        router.request_counts().client_disconnects == 1
+    })
+    .await;
+}
+
+/// Guards against missing a disconnect because the system holds it back behind input that exceeds the receive window.
+#[test]
+fn a_disconnect_behind_more_input_than_the_receive_window_is_noticed() {
+    run_test(async {
+        for (front, input) in (0..2).flat_map(|front| (0..4).map(move |input| (front, input))) {
+            let replica = MockReplica::new(Chat).await;
+            replica.add_faults(&[ReplicaFault::NoAnswer]);
+            let router = TestRouter::new(Chat, &[&replica], |_| {}).await;
+            let (addr, request) = fronts(&router)[front];
+            let input = &inputs_sent_ahead(&request(), 2 * MAX_RECEIVE_WINDOW)[input];
+            send_and_close(addr, &request(), input);
+            wait_for_disconnect(&router, Instant::now()).await;
+            wait_until(|| router.open_requests() == 0 && router.components.clients.open() == 0).await;
+            assert!(replica.take_counts().1 <= 1, "front {front}: a request sent ahead was forwarded");
+            assert_eq!(
+                router.components.read_ahead_budget.available(),
+                router.components.limits.read_ahead_budget
+            );
+        }
+    });
+}
+
+/// Guards against a hedged request for a client that has sent much at once and left.
+#[test]
+fn no_hedged_request_is_sent_for_a_client_that_sent_much_and_left() {
+    run_test(async {
+        let mut remaining_fronts = vec![0, 1];
+        while let Some(front) = remaining_fronts.pop() {
+            let (first, second) = (MockReplica::new(Chat).await, MockReplica::new(Chat).await);
+            let short_objective = CONFIG.replace("\"GoalTimeNs\": 1200000000", "\"GoalTimeNs\": 200000000");
+            let config = Config::parse(&short_objective).unwrap();
+            let router = TestRouter::with_config(config, Chat, &[&first, &second], None).await;
+            // The router sends hedged requests only where it has measured fast first tokens.
+            assert_eq!(Client::connect(router.addr).await.send_platform_request("").await.0, 200);
+            first.take_counts();
+            second.take_counts();
+            first.add_faults(&[ReplicaFault::NoAnswer]);
+            second.add_faults(&[ReplicaFault::NoAnswer]);
+            let (addr, request) = fronts(&router)[front];
+            send_and_close(addr, &request(), &request().repeat(2 * MAX_RECEIVE_WINDOW / request().len()));
+            let closed_at = Instant::now();
+            wait_for_disconnect(&router, closed_at).await;
+            // If the machine stalls, the hedged request is due before the router has read the input: this front is run again.
+            if closed_at.elapsed() > HEDGE_DELAY / 2 {
+                remaining_fronts.push(front);
+                continue;
+            }
+            wait_until(|| closed_at.elapsed() > MAX_HEDGE_WAIT).await;
+            let forwarded = first.take_counts().1 + second.take_counts().1;
+            assert!(forwarded <= 1, "front {front}: {forwarded} attempts, one at most before the close");
+        }
+    });
+}
+
 /// Guards against retrying requests whose clients have left: 50 clients of two silent replicas disconnect together, just before
 /// each request would be retried.
 #[test]
--- a/router/tests/soak.rs
+++ b/router/tests/soak.rs
@@ -100,7 +100,7 @@
     move |scenario| {
         scenario.socket_faults = Some(socket_faults.clone());
         // Each byte needs a system call, so more than a few parallel requests would need more than one processor.
-        (scenario.clients, scenario.idle_clients) = (2, 0);
+        (scenario.clients, scenario.idle_clients, scenario.max_sent_ahead) = (2, 0, 0);
     }
 }
 
--- a/test-support/src/shutdown_runs/client.rs
+++ b/test-support/src/shutdown_runs/client.rs
@@ -23,6 +23,10 @@
 const MAX_THINK_TIME_MS: u64 = 120;
 /// One request in this many has a deadline of less than 40 ms.
 const SHORT_DEADLINE_ONE_IN: u8 = 12;
+/// Body size of the requests that a client sends ahead.
+const AHEAD_BODY_BYTES: usize = 1500;
+/// Time for which a client waits for the system to accept what it sends ahead.
+const SEND_AHEAD_TIMEOUT: Duration = Duration::from_millis(20);
 /// Delay before a client connects again after a failed or closed connection.
 const RECONNECT_DELAY: Duration = Duration::from_millis(20);
 
@@ -78,6 +82,8 @@
     pause: Option<Duration>,
     /// Time after the end of the request at which the client closes the connection.
     disconnect_after: Option<Duration>,
+    /// Number of bytes of further requests that the client sends at once before it closes the connection.
+    sent_ahead: usize,
     /// Size of the request body in bytes.
     body_bytes: usize,
     /// The client sends half of the request and keeps the connection open.
@@ -87,11 +93,14 @@
 impl SendOptions {
     fn random(rng: &mut fastrand::Rng, scenario: &Scenario) -> SendOptions {
         let max_pause_ms = scenario.max_write_pause.as_millis() as u64;
+        let disconnect_after = (rng.u8(..16) == 0).then(|| Duration::from_millis(rng.u64(..300)));
+        let sends_ahead = disconnect_after.is_some() && rng.bool();
         SendOptions {
+            sent_ahead: if sends_ahead { scenario.max_sent_ahead } else { 0 },
+            disconnect_after,
             stalls: rng.u8(..40) == 0,
             pause: (rng.u8(..scenario.slow_writes_one_in) == 0)
                 .then(|| Duration::from_millis(rng.u64(1..max_pause_ms))),
-            disconnect_after: (rng.u8(..16) == 0).then(|| Duration::from_millis(rng.u64(..300))),
             body_bytes: if rng.u8(..10) == 0 { rng.usize(10_000..150_000) } else { rng.usize(2..500) },
         }
     }
@@ -139,10 +148,12 @@
                 // `STALLED_REQUEST_TIMEOUT`.
                 class.deadline = STALLED_REQUEST_TIMEOUT.saturating_sub(MAX_RESPONSE_DELAY);
             }
+            // The next answers on this connection are for the requests sent ahead.
+            let sends_ahead = options.sent_ahead > 0;
             let index = exchange(&run, &mut connection, &id, &class, options).await;
             let outcome = run.exchanges.borrow()[index].outcome;
             match outcome {
-                Outcome::Answered(_) => {}
+                Outcome::Answered(_) if !sends_ahead => {}
                 Outcome::Closed if !is_retry => {
                     unanswered = Some((id, class));
                     break;
@@ -237,7 +248,22 @@
     if let Some(pause) = options.pause {
         sleep(pause).await;
     }
-    connection.write(rest).await
+    connection.write(rest).await?;
+    // What the system does not accept at once is left out, as the client does not wait for the router.
+    let _ = timeout(SEND_AHEAD_TIMEOUT, connection.write(&requests_ahead(id, options.sent_ahead))).await;
+    Ok(())
+}
+
+/// Further requests of at least `size` bytes in total.
+fn requests_ahead(id: &str, size: usize) -> Vec<u8> {
+    let body = "x".repeat(AHEAD_BODY_BYTES);
+    let request = |number: usize| {
+        format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nReq-Id: {id}-{number}\r\nReq-Kind: c0\r\nReq-Owner: t\r\n\
+             Content-Length: {AHEAD_BODY_BYTES}\r\n\r\n{body}"
+        )
+    };
+    (0..size.div_ceil(AHEAD_BODY_BYTES)).flat_map(|number| request(number).into_bytes()).collect()
 }
 
 async fn read(run: &Run, connection: &mut HttpConnection, index: usize) -> Outcome {
--- a/test-support/src/shutdown_runs/random_scenario.rs
+++ b/test-support/src/shutdown_runs/random_scenario.rs
@@ -4,7 +4,7 @@
 
 use super::scenario::{
     ms, Change, ChangeKind, Class, Effect, Group, ReplicaBehaviour, ReplicaScenario, Scenario, Signal,
-    LONG_MAX_WRITE_PAUSE, MAX_WRITE_PAUSE, SLOW_WRITES_ONE_IN,
+    LONG_MAX_WRITE_PAUSE, MAX_SENT_AHEAD, MAX_WRITE_PAUSE, SLOW_WRITES_ONE_IN,
 };
 
 impl Scenario {
@@ -36,6 +36,7 @@
             clients: rng.usize(8..48),
             slow_writes_one_in: SLOW_WRITES_ONE_IN,
             max_write_pause: random_max_write_pause(seed),
+            max_sent_ahead: MAX_SENT_AHEAD,
             idle_clients: if rng.u8(..4) == 0 { rng.usize(50..400) } else { 0 },
             load_time: ms(rng.u64(150..900)),
             idle_period: random_idle_period(seed),
--- a/test-support/src/shutdown_runs/scenario.rs
+++ b/test-support/src/shutdown_runs/scenario.rs
@@ -140,6 +140,8 @@
     pub slow_writes_one_in: u8,
     /// Upper bound of that pause.
     pub max_write_pause: Duration,
+    /// Number of bytes of further requests that some clients send at once before they leave; 0 for none.
+    pub max_sent_ahead: usize,
     /// Number of clients that connect and send nothing.
     pub idle_clients: usize,
     /// Time from the first request to SIGTERM, without the idle period.
@@ -167,6 +169,8 @@
     pub token_interval: Duration,
 }
 
+/// Bytes that clients send ahead in random scenarios: more than the system passes on to a router that does not read.
+pub(super) const MAX_SENT_AHEAD: usize = 500_000;
 /// One request in this many is written slowly, unless a scenario says otherwise.
 pub(super) const SLOW_WRITES_ONE_IN: u8 = 12;
 /// Upper bound of the pause in a slow write.
@@ -213,6 +217,7 @@
             clients: 24,
             slow_writes_one_in: SLOW_WRITES_ONE_IN,
             max_write_pause: MAX_WRITE_PAUSE,
+            max_sent_ahead: 0,
             idle_clients: 0,
             load_time: ms(500),
             idle_period: Duration::ZERO,
