Record the simulated deployments on arm64 too, and choose the recording by architecture

Cause: the traces under tests/recorded/trace were recorded on x86-64. On arm64 the C library rounds ln, exp or powf otherwise in the last bit, so nine tests of tests/recorded_trace.rs failed there.

Change, in tests alone: tests/recorded/trace_aarch64 holds the same deployments as recorded on arm64. The folder is chosen by std::env::consts::ARCH, and another architecture fails. The comparison is the same, byte for byte, and the recordings of x86-64 are unchanged. That every recording belongs to a deployment is checked in both folders.

--- a/tests/recorded_trace.rs
+++ b/tests/recorded_trace.rs
@@ -1,5 +1,5 @@
 //! Simulated deployments give exactly the actions of their recorded traces.
-//! `RECORD=1 cargo test -p tallypin --test recorded_trace` writes the traces again.
+//! `RECORD=1 cargo test -p tallypin --test recorded_trace` writes the traces of this kind of machine again.
 #![allow(missing_docs)]
 
 mod common;
@@ -29,8 +29,22 @@
     "few_requests",
 ];
 
+/// Kinds of machine, and the folders with the traces recorded there. The C library of each rounds `ln`, `exp` or `powf`
+/// its own way in the last bit, which shows in the `times` of a replica and so in the digests.
+const FOLDERS: [(&str, &str); 2] = [("x86_64", "trace"), ("aarch64", "trace_aarch64")];
+
+fn path_of(folder: &str) -> PathBuf {
+    PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/recorded")).join(folder)
+}
+
+/// The folder with the traces of the kind of machine that the test was built for.
 fn folder() -> PathBuf {
-    PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/recorded/trace"))
+    let architecture = std::env::consts::ARCH;
+    let (_, folder) = FOLDERS
+        .iter()
+        .find(|(recorded_on, _)| *recorded_on == architecture)
+        .unwrap_or_else(|| panic!("no traces are recorded for {architecture}"));
+    path_of(folder)
 }
 
 /// Five classes with every effect and deduplication scope, and with different values of a late answer.
@@ -222,12 +236,14 @@
 
 #[test]
 fn every_recorded_trace_belongs_to_a_deployment() {
-    let mut files: Vec<String> = std::fs::read_dir(folder())
-        .expect("the folder of traces exists")
-        .map(|f| f.expect("the entry can be read").file_name().into_string().expect("the name is UTF-8"))
-        .collect();
-    files.sort();
     let mut names = DEPLOYMENTS.map(|n| format!("{n}.txt")).to_vec();
     names.sort();
-    assert_eq!(files, names);
+    for (_, folder) in FOLDERS {
+        let mut files: Vec<String> = std::fs::read_dir(path_of(folder))
+            .expect("the folder of traces exists")
+            .map(|f| f.expect("the entry can be read").file_name().into_string().expect("the name is UTF-8"))
+            .collect();
+        files.sort();
+        assert_eq!(files, names, "{folder}");
+    }
 }
