--- a/review/common-2/mod.rs
+++ b/review/common-2/mod.rs
@@ -444,16 +444,21 @@
     pub bytes: Vec<u8>,
 }
 
-/// Makes a request of the class `chat` with a body of about `body_size` bytes.
+/// Makes a request of the class `chat` with a body of about `body_size` bytes, for at most 200 tokens.
 pub fn chat_request(body_size: usize, deadline: Duration) -> Request {
+    chat_request_for(body_size, deadline, 200)
+}
+
+/// Makes a request of the class `chat` with a body of about `body_size` bytes, for at most `max_tokens` tokens.
+pub fn chat_request_for(body_size: usize, deadline: Duration, max_tokens: usize) -> Request {
     let number = LAST_REQUEST.fetch_add(1, Ordering::SeqCst) + 1;
     let id = format!("{number:016x}");
     let text = "x".repeat(body_size.saturating_sub(100));
     let body = format!(
-        "{{\"model\":\"chat\",\"stream\":true,\"max_tokens\":200,\"messages\":[{{\"role\":\"user\",\"content\":\"{text}\"}}]}}"
+        "{{\"model\":\"chat\",\"stream\":true,\"max_tokens\":{max_tokens},\"messages\":[{{\"role\":\"user\",\"content\":\"{text}\"}}]}}"
     );
     let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: chat\r\nReq-Owner: haendlerbund\r\nReq-Key: {number:08x}\r\nReq-Deadline-Ms: {}\r\nReq-Extra: prompt_len={},max_out=200\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: chat\r\nReq-Owner: haendlerbund\r\nReq-Key: {number:08x}\r\nReq-Deadline-Ms: {}\r\nReq-Extra: prompt_len={},max_out={max_tokens}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         deadline.as_millis(),
         body.len() / 4,
         body.len()
