--- a/review/common-2/mod.rs
+++ b/review/common-2/mod.rs
@@ -2,7 +2,7 @@
 //! address is a loopback address. The forms are those of `../given/docs/PROTOCOL-tallypin.md`.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -15,6 +15,8 @@
 
 /// Interval of the empty lines on a watch without changes (PROTOCOL, Discovery).
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which a call to a crowded discovery fails; the accounts of the sites have 1 s and 2 s.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time within which a router has to be ready (STANDING, Pass or fail).
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
@@ -70,9 +72,10 @@
     Ok((listener, address))
 }
 
-/// An address on which nothing listens now.
-pub fn free_address() -> io::Result<SocketAddr> {
-    listen().map(|(_, address)| address)
+/// An address for the router of this number, on a loopback address that nothing else of the case uses: no connection can
+/// take the port before the router listens there.
+fn router_address(number: u64) -> io::Result<SocketAddr> {
+    TcpListener::bind(format!("127.0.1.{}:0", number + 1))?.local_addr()
 }
 
 /// Head and body of an HTTP message.
@@ -164,6 +167,19 @@
     rows: Mutex<Vec<(u64, Row)>>,
     version: AtomicU64,
     changed: Condvar,
+    /// Number of times that all open watches were ended.
+    resets: AtomicU64,
+    /// The calls that wait for their turn; `None` if calls are answered at once.
+    queue: Mutex<Option<VecDeque<Call>>>,
+    /// Number of calls that got 503.
+    refused: AtomicU64,
+}
+
+/// A call that waits for its turn.
+struct Call {
+    since: Instant,
+    /// Set when the call is served.
+    served: Flag,
 }
 
 /// Discovery: the whole list at first, then changes, and an empty line every 2 s without one.
@@ -180,6 +196,9 @@
             rows: Mutex::new(rows),
             version: AtomicU64::new(1),
             changed: Condvar::new(),
+            resets: AtomicU64::new(0),
+            queue: Mutex::new(None),
+            refused: AtomicU64::new(0),
         });
         let for_calls = state.clone();
         thread::spawn(move || {
@@ -191,6 +210,23 @@
         Ok(Discovery { address, state })
     }
 
+    /// Ends all watches. For `duration` from then on, calls are served in turn, one each `turn`; a call that waits for
+    /// `CALL_TIMEOUT` fails.
+    pub fn end_watches_and_serve_in_turn(&self, turn: Duration, duration: Duration) {
+        // The lock keeps a watch from missing the notification between its check and its wait.
+        let _rows = self.state.rows.lock().unwrap();
+        *self.state.queue.lock().unwrap() = Some(VecDeque::new());
+        self.state.resets.fetch_add(1, Ordering::SeqCst);
+        self.state.changed.notify_all();
+        let state = self.state.clone();
+        thread::spawn(move || serve_in_turn(&state, turn, duration));
+    }
+
+    /// Number of calls that got 503.
+    pub fn refused_calls(&self) -> u64 {
+        self.state.refused.load(Ordering::SeqCst)
+    }
+
     /// Replaces or adds a row; watches get it as a change.
     pub fn set(&self, row: Row) {
         let mut rows = self.state.rows.lock().unwrap();
@@ -201,17 +237,62 @@
     }
 }
 
+fn serve_in_turn(state: &ListState, turn: Duration, duration: Duration) {
+    let until = Instant::now() + duration;
+    let mut next_turn = Instant::now();
+    while Instant::now() < until {
+        if let Some(calls) = state.queue.lock().unwrap().as_mut() {
+            calls.retain(|call| call.since.elapsed() < CALL_TIMEOUT);
+            if next_turn <= Instant::now() {
+                if let Some(call) = calls.pop_front() {
+                    call.served.set();
+                    next_turn = Instant::now() + turn;
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    *state.queue.lock().unwrap() = None;
+}
+
+/// Waits for the turn of a router's call; false if it waited too long.
+fn wait_for_turn(state: &ListState) -> bool {
+    let served = Flag::default();
+    match state.queue.lock().unwrap().as_mut() {
+        Some(calls) => calls.push_back(Call { since: Instant::now(), served: served.clone() }),
+        None => return true,
+    }
+    let called_at = Instant::now();
+    while !served.is_set() && called_at.elapsed() < CALL_TIMEOUT {
+        if state.queue.lock().unwrap().is_none() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    served.is_set()
+}
+
 fn serve_list(mut stream: TcpStream, state: &ListState) -> io::Result<()> {
     read_head(&mut BufReader::new(stream.try_clone()?))?;
     stream.set_nodelay(true)?;
+    if !wait_for_turn(state) {
+        state.refused.fetch_add(1, Ordering::SeqCst);
+        return stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    }
+    let resets = state.resets.load(Ordering::SeqCst);
     stream.write_all(
         b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
     )?;
     let mut sent = 0;
     loop {
         let rows = state.rows.lock().unwrap();
-        let unchanged = |_: &mut Vec<(u64, Row)>| state.version.load(Ordering::SeqCst) == sent;
+        let unchanged = |_: &mut Vec<(u64, Row)>| {
+            state.version.load(Ordering::SeqCst) == sent && state.resets.load(Ordering::SeqCst) == resets
+        };
         let (rows, _) = state.changed.wait_timeout_while(rows, KEEP_ALIVE_INTERVAL, unchanged).unwrap();
+        if state.resets.load(Ordering::SeqCst) != resets {
+            return Ok(());
+        }
         let version = state.version.load(Ordering::SeqCst);
         let line = if version == sent {
             "\n".to_string()
@@ -304,6 +385,8 @@
     pub zones: &'static [&'static str],
     pub resume: bool,
     pub parallel_tries: bool,
+    pub drain_grace_ms: usize,
+    pub routers: usize,
     pub memory_mb: usize,
     pub sockets: usize,
 }
@@ -316,6 +399,8 @@
             zones: &["rz-garching"],
             resume: true,
             parallel_tries: true,
+            drain_grace_ms: 500,
+            routers: 1,
             memory_mb: 192,
             sockets: 1024,
         }
@@ -323,22 +408,32 @@
 }
 
 impl Settings {
-    fn json(&self, listen: SocketAddr, discovery: SocketAddr, seed: u64) -> String {
+    fn json(&self, number: u64, listen: SocketAddr, discovery: SocketAddr, seed: u64) -> String {
         let zones: Vec<String> = self.zones.iter().map(|zone| format!("\"{zone}\"")).collect();
-        let Settings { effect, group, resume, parallel_tries, memory_mb, sockets, .. } = self;
+        let Settings {
+            effect,
+            group,
+            resume,
+            parallel_tries,
+            drain_grace_ms,
+            routers,
+            memory_mb,
+            sockets,
+            ..
+        } = self;
         format!(
-            r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"{seed:016x}",
+            r#"{{"name":"n{number}","listen":"{listen}","discovery":"{discovery}","seed":"{seed:016x}",
 "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"peers":[],
 "settings":{{"Clients":{{"MarksRetry":true}},"Discovery":"on_request","Family":"llm",
 "FamilyInfo":{{"AimUsPer1000PromptTokens":[60000.0,30000.0],"Resume":{resume},"TokenAimNs":[80000000,80000000]}},
 "Kinds":["m1"],
 "Limits":{{"Cancel":true,"ConnectTimeoutNs":150000000,"IdleCloseNs":5000000000,"MaxRetryAfterNs":2000000000,"MostHeld":32393,
 "ParallelTries":{parallel_tries},"Peers":false,"Probes":true,"RetryAfter":true,"StreamsPerConn":1,"TryLimit":4}},
-"Me":0,"MyZone":0,"OverShareWorth":0.2,
+"Me":{number},"MyZone":0,"OverShareWorth":0.2,
 "Profiles":[{{"DeadlineNs":4000000000,"Effect":"{effect}","GoalTimeNs":1200000000,"Group":"{group}","LateShare":0.2,"Name":"chat","Stream":true,"WindowNs":5000000000,"Worth":2.0}},
 {{"DeadlineNs":6000000000,"Effect":"pure","GoalTimeNs":1500000000,"Group":"all","LateShare":0.3,"Name":"belege","Stream":true,"WindowNs":5000000000,"Worth":5.0}}],
-"ReplicasOfMe":1,"Report":{{"Fields":["fail_rate","lat_ms","q"],"Via":"answers"}},
-"Rules":{{"AnswerSlackNs":16000000,"ColdNs":23000000000,"ColdShare":0.15,"DrainGraceNs":500000000,"FallMultiple":2.5,"FallNs":2000000000,"MustAskInNs":10000000000}},
+"ReplicasOfMe":{routers},"Report":{{"Fields":["fail_rate","lat_ms","q"],"Via":"answers"}},
+"Rules":{{"AnswerSlackNs":16000000,"ColdNs":23000000000,"ColdShare":0.15,"DrainGraceNs":{drain_grace_ms}000000,"FallMultiple":2.5,"FallNs":2000000000,"MustAskInNs":10000000000}},
 "Tenants":[{{"Fraction":0.62,"Name":"haendlerbund","QuotaPerS":190.0}},{{"Fraction":0.38,"Name":"grenzstellen","QuotaPerS":50.0}}],
 "Tier":0,"Tiers":["sprachmodell"],"Weights":"none","WorthBy":"work","Zones":[{}]}}}}"#,
             zones.join(",")
@@ -353,6 +448,8 @@
     line.map(str::to_string).ok_or_else(|| io::Error::other("the deploy file has no run command"))
 }
 
+static LAST_ROUTER: AtomicU64 = AtomicU64::new(0);
+
 /// A router process. It is killed, and its folder removed, when this is dropped.
 pub struct Router {
     pub address: SocketAddr,
@@ -366,16 +463,17 @@
     /// of the repository.
     pub fn start(settings: &Settings, discovery: SocketAddr) -> io::Result<Router> {
         let root = std::env::current_dir()?;
-        let folder = std::env::temp_dir().join(format!("tallypin-review-{}", std::process::id()));
+        let number = LAST_ROUTER.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("tallypin-review-{}-{number}", std::process::id()));
         std::fs::create_dir_all(folder.join("tmp"))?;
-        let address = free_address()?;
+        let address = router_address(number)?;
         let seed = std::time::UNIX_EPOCH.elapsed().map_err(io::Error::other)?.as_nanos() as u64;
-        std::fs::write(folder.join("config.json"), settings.json(address, discovery, seed))?;
+        std::fs::write(folder.join("config.json"), settings.json(number, address, discovery, seed))?;
         let log = File::create(folder.join("log"))?;
         let process = Command::new("/bin/sh")
             .args(["-c", &run_command(&root)?])
             .env("PROXY_CONFIG", folder.join("config.json"))
-            .env("PROXY_NAME", "n1")
+            .env("PROXY_NAME", format!("n{number}"))
             .env("PROXY_LISTEN", address.to_string())
             .env("PROXY_DISCOVERY", discovery.to_string())
             .env("TMPDIR", folder.join("tmp"))
@@ -395,6 +493,18 @@
         Ok(router)
     }
 
+    /// Starts several routers at once and waits until all are ready.
+    pub fn start_all(count: usize, settings: &Settings, discovery: SocketAddr) -> io::Result<Vec<Router>> {
+        let starting: Vec<_> = (0..count)
+            .map(|_| {
+                let settings = settings.clone();
+                thread::spawn(move || Router::start(&settings, discovery))
+            })
+            .collect();
+        let failed = || io::Error::other("a router could not be started");
+        starting.into_iter().map(|router| router.join().map_err(|_| failed())?).collect()
+    }
+
     fn is_up(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
