Let the list of known failures name cases of reviews without skipping a test

Cause: the list knew tests only, so the cases of the reviews were listed under names of ignored tests, two or three cases a line. A case that does not exist or is listed twice ends it, as does any other doubtful line; three tests at most stay the limit. No test is skipped by the list now.

--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -41,6 +41,29 @@
     );
 }
 
+/// Guards against a case of a review that passes over a test, or that displaces one from the list.
+#[test]
+fn cases_of_reviews_are_reported_and_skip_no_test() {
+    let cases =
+        "review/1/run.sh | no answer | 22\nreview/7/run.sh | ran twice | 39\nreview/10/run.sh | stale | 39\n";
+    let (accepted, skip_arguments, messages) = run_known_red(cases);
+    assert_eq!((accepted, skip_arguments.as_str()), (true, ""), "{messages}");
+    assert!(messages.contains("a case: review/7/run.sh | ran twice | 39"), "{messages}");
+    let (accepted, skip_arguments, messages) =
+        run_known_red(&format!("{cases}two | no room | 7\nthree | a | 1\nfour | a | 1\n"));
+    assert!(accepted, "{messages}");
+    assert_eq!(skip_arguments, "--skip\ntwo\n--skip\nthree\n--skip\nfour\n--exact\n");
+    for (list, reason) in [
+        ("review/999/run.sh | a | 1\n", "line 1: there is no review/999/run.sh"),
+        ("review/1/run.sh | a | 1\nreview/1/run.sh | b | 1\n", "line 2: review/1/run.sh is listed twice"),
+        ("review/1/run.sh | a\n", "line 1: not of the form"),
+        ("review/1/case.rs | a | 1\n", "line 1: not of the form"),
+    ] {
+        let (accepted, _, messages) = run_known_red(list);
+        assert!(!accepted && messages.contains(reason), "{list:?} gave {messages:?}");
+    }
+}
+
 #[test]
 fn a_list_that_could_hide_another_test_is_rejected_with_its_line() {
     let valid_line = "two | no room | 7\n";
@@ -52,7 +75,10 @@
         ("two | | 36\n", "line 1: not of the form"),
         ("t.* | late | 36\n", "line 1: not of the form"),
         (&format!("{valid_line}\n"), "line 2: not of the form"),
-        (&format!("{valid_line}rules::one | a | 1\nthree | a | 1\nfour | a | 1\n"), "line 4: three at most"),
+        (
+            &format!("{valid_line}rules::one | a | 1\nthree | a | 1\nfour | a | 1\n"),
+            "line 4: three tests at most",
+        ),
     ] {
         let (accepted, _, messages) = run_known_red(list);
         assert!(!accepted && messages.contains(reason), "{list:?} gave {messages:?}");
