Reserve the memory of requests and answers before it is allocated

Cause: budgets counted received bytes after they had been read, not the capacity of buffers; refused clients kept their buffers while they were read on; heads, input read ahead up to 16 KiB and its scanner, events queued for slow clients, and collected answers were in no budget.

Change: the memory of a request is reserved before it is allocated (read buffer beyond one read, head, body buffer), that of read-ahead by capacity, that of events over 2 KiB before they are read. Heads are copied and freed before a request waits. Refused and closing connections free their input.

Why this works: each allocation that grows with what a client sends, or does not read, is now either bounded by a few KiB a connection or inside a budget.

--- a/router/src/checks/context.rs
+++ b/router/src/checks/context.rs
@@ -31,7 +31,7 @@
     /// The state of the endpoint list, with the time of its last update.
     pub endpoint_list: Rc<EndpointListState>,
     /// The memory for request bodies.
-    pub body_budget: MemoryBudget,
+    pub request_budget: MemoryBudget,
     /// The dispatcher, for the counts and views of the core.
     pub dispatcher: Rc<Dispatcher>,
 }
--- a/router/src/components.rs
+++ b/router/src/components.rs
@@ -51,8 +51,10 @@
     pub clients: Rc<Clients>,
     /// The identifiers of open and recent requests.
     pub request_ids: Rc<RequestIds>,
-    /// The memory budget for request bodies.
-    pub body_budget: MemoryBudget,
+    /// The memory budget for requests.
+    pub request_budget: MemoryBudget,
+    /// The memory budget for the parts of answers that have not been written to their clients.
+    pub answer_budget: MemoryBudget,
     /// The memory budget for input beyond the requests that are being answered.
     pub read_ahead_budget: MemoryBudget,
     /// The dispatcher, which runs the core.
@@ -78,8 +80,14 @@
         let request_ids = Rc::new(RequestIds::new(seed, limits.max_remembered_requests));
         let replicas = Rc::new(ReplicaPool::new(dialect, &limits));
         let report_fields = deployment.report_field_names.clone();
-        let replica_context =
-            Rc::new(ReplicaContext::new(replicas.clone(), limits.clone(), clock, report_fields));
+        let answer_budget = MemoryBudget::new(limits.answer_budget);
+        let replica_context = Rc::new(ReplicaContext::new(
+            replicas.clone(),
+            answer_budget.clone(),
+            limits.clone(),
+            clock,
+            report_fields,
+        ));
         let connections = Connections {
             replicas: replica_context.clone(),
             endpoint_list: list_state.clone(),
@@ -99,7 +107,8 @@
         });
         Ok(Rc::new(Components {
             clients: Clients::new(limits.max_clients, limits.client_eviction_idle_time),
-            body_budget: MemoryBudget::new(limits.body_budget),
+            request_budget: MemoryBudget::new(limits.request_budget),
+            answer_budget,
             read_ahead_budget: MemoryBudget::new(limits.read_ahead_budget),
             balancer_interface: Rc::default(),
             tasks: RefCell::default(),
@@ -144,7 +153,8 @@
             clients: self.clients.clone(),
             replicas: self.replicas.clone(),
             request_ids: self.request_ids.clone(),
-            body_budget: self.body_budget.clone(),
+            request_budget: self.request_budget.clone(),
+            answer_budget: self.answer_budget.clone(),
             read_ahead_budget: self.read_ahead_budget.clone(),
             dispatcher: self.dispatcher.clone(),
         })
@@ -161,7 +171,7 @@
             replicas: self.replicas.clone(),
             peers: self.peers.clone(),
             endpoint_list: self.endpoint_list.state.clone(),
-            body_budget: self.body_budget.clone(),
+            request_budget: self.request_budget.clone(),
             dispatcher: self.dispatcher.clone(),
         })
     }
--- a/router/src/dialect/splitter.rs
+++ b/router/src/dialect/splitter.rs
@@ -1,6 +1,6 @@
 //! Splits a stream at event boundaries, regardless of how its bytes are divided into reads.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 /// Number of already searched bytes that are searched again, as they may hold the start of an event end: its maximum
 /// length less one byte.
@@ -10,7 +10,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     /// The received bytes of an event that is not complete.
-    incomplete: BytesMut,
+    incomplete: Vec<u8>,
     /// Number of bytes of `incomplete` that were searched and hold no event end.
     searched: usize,
 }
@@ -22,13 +22,15 @@
         let from = self.searched.saturating_sub(END_OVERLAP);
         let end = end_of_last_event(&self.incomplete[from..]).map(|end| from + end);
         self.searched = self.incomplete.len() - end.unwrap_or(0);
-        Some(self.incomplete.split_to(end?).freeze())
+        let incomplete = self.incomplete.split_off(end?);
+        // No spare capacity is kept: the events may wait for a slow client.
+        Some(Bytes::from(std::mem::replace(&mut self.incomplete, incomplete).into_boxed_slice()))
     }
 
     /// Removes and returns the bytes of the incomplete event.
     pub fn take_incomplete(&mut self) -> Bytes {
         self.searched = 0;
-        self.incomplete.split().freeze()
+        Bytes::from(std::mem::take(&mut self.incomplete))
     }
 
     /// The size of the incomplete event, bytes.
--- a/router/src/dispatcher.rs
+++ b/router/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use crate::core::{AbortReason, AnswerCause, Core, FinalAnswer, Instruction, NewRequest, RequestSummary};
 use crate::dialect::StreamEvent;
 use crate::limits::Limits;
-use crate::memory_budget::BufferedBody;
+use crate::memory_budget::{BufferedBody, MemoryReservation};
 use crate::request_ids::{RequestIdGuard, RequestIds};
 
 /// An event of a submitted request, for its front.
@@ -29,6 +29,21 @@
     End(FinalAnswer),
 }
 
+/// An event on its way from an attempt to the front.
+#[derive(Debug)]
+pub struct QueuedEvent {
+    /// The event.
+    pub event: ResponseEvent,
+    /// The memory of the event, unless it is small. It stays reserved until the front has handled the event.
+    pub memory: Option<MemoryReservation>,
+}
+
+impl From<ResponseEvent> for QueuedEvent {
+    fn from(event: ResponseEvent) -> QueuedEvent {
+        QueuedEvent { event, memory: None }
+    }
+}
+
 /// The request that is sent to a replica.
 #[derive(Debug)]
 pub struct UpstreamRequest {
@@ -62,7 +77,7 @@
     /// The request to send.
     pub upstream: Rc<UpstreamRequest>,
     /// Receives the attempt's events if this attempt's stream goes to the client.
-    pub events: mpsc::Sender<ResponseEvent>,
+    pub events: mpsc::Sender<QueuedEvent>,
 }
 
 /// The socket operations that the core's instructions require. An implementation must not call the dispatcher before it
@@ -90,7 +105,7 @@
 
 /// The parts of an [`AttemptStart`] that all attempts of a request share.
 struct PendingStart {
-    events: mpsc::Sender<ResponseEvent>,
+    events: mpsc::Sender<QueuedEvent>,
     upstream: Rc<UpstreamRequest>,
 }
 
@@ -201,7 +216,13 @@
         let pending = Some(PendingStart { events, upstream: Rc::new(upstream) });
         self.waiting.borrow_mut().insert(id, WaitingRequest { id: id_guard.bytes(), pending });
         self.execute(instructions);
-        Some(RequestHandle { dispatcher: self.clone(), id, _id_guard: id_guard, events: receiver })
+        Some(RequestHandle {
+            dispatcher: self.clone(),
+            id,
+            _id_guard: id_guard,
+            events: receiver,
+            event_memory: None,
+        })
     }
 
     /// Logs an accepted request. Session and prefix are logged as hashes: these let an operator count how often a prompt is
@@ -258,7 +279,7 @@
         let Some(PendingStart { events, .. }) = waiting.and_then(|w| w.pending) else { return };
         if matches!(answer, FinalAnswer::Rejected { .. } | FinalAnswer::Failed { .. }) {
             // The queue is empty: no event was sent before a rejection or failure.
-            let _ = events.try_send(ResponseEvent::End(answer));
+            let _ = events.try_send(ResponseEvent::End(answer).into());
         }
     }
 
@@ -315,13 +336,19 @@
     dispatcher: Rc<Dispatcher>,
     id: RequestId,
     _id_guard: RequestIdGuard,
-    events: mpsc::Receiver<ResponseEvent>,
+    events: mpsc::Receiver<QueuedEvent>,
+    /// The memory of the event that the front is handling.
+    event_memory: Option<MemoryReservation>,
 }
 
 impl RequestHandle {
-    /// Waits for the next event; `None` after the final answer. Cancel-safe: an event that is not returned stays queued.
+    /// Waits for the next event; `None` after the final answer. The event before must have been handled. Cancel-safe: an event
+    /// that is not returned stays queued.
     pub async fn next(&mut self) -> Option<ResponseEvent> {
-        self.events.recv().await
+        self.event_memory = None;
+        let QueuedEvent { event, memory } = self.events.recv().await?;
+        self.event_memory = memory;
+        Some(event)
     }
 }
 
--- a/router/src/front/client_connection.rs
+++ b/router/src/front/client_connection.rs
@@ -65,7 +65,11 @@
 
     /// Reads once; false if the client has closed its side or the connection has failed.
     async fn read_and_scan(&mut self) -> bool {
-        if !matches!(self.wire.read_more().await, Ok(true)) {
+        let mut capacity = self.wire.capacity_for_read(self.read_ahead.max_size());
+        if !self.read_ahead.may_grow(capacity) {
+            capacity = self.wire.capacity_for_read(0);
+        }
+        if !matches!(self.wire.read_with_capacity(capacity).await, Ok(true)) {
             return false;
         }
         self.read_ahead.record(self.wire.received());
--- a/router/src/front/connection.rs
+++ b/router/src/front/connection.rs
@@ -4,19 +4,26 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use tallypin::api::Nanos;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 
+use super::body_buffer::BodyBuffer;
 use super::{ClientConnection, FrontContext};
 use super::{Front, IncomingRequest, Rejection};
 use crate::balancer_interface::ConnectionOrigin;
 use crate::clients::{Client, IdleGuard};
-use crate::http::{BodyFraming, BodyPart, BodyReader, BufferedConnection, HttpError, MessageHead, StartLine};
+use crate::http::{
+    BodyFraming, BodyPart, BodyReader, BufferedConnection, HttpError, MessageHead, StartLine, SMALL_READ_SIZE,
+};
 use crate::keep_alive::{AfterAnswer, IdleLimit, KeepAlive};
 use crate::lifecycle::Stage;
-use crate::memory_budget::BufferedBody;
+use crate::memory_budget::MemoryReservation;
+
+/// Memory that each connection may use for its input without reserving it, bytes: that of one read.
+pub(super) const UNRESERVED_INPUT: usize = SMALL_READ_SIZE;
+/// Maximum number of reads of a connection that is being closed.
+const MAX_DISCARDING_READS: usize = 128;
 
 /// Why a client connection is closed. The names appear in the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,7 +57,7 @@
     // The guard is kept until the connection has closed. The connection counts as closing until then, so that no second
     // idle connection is closed for the same slot.
     let mut idle = Some(idle);
-    let wire = BufferedConnection::new(stream);
+    let wire = BufferedConnection::with_small_reads(stream);
     let mut connection =
         ClientConnection::new(wire, context.limits.clone(), context.read_ahead_budget.clone());
     let cause = serve_requests(&context, &client, &mut idle, &mut connection, &front).await;
@@ -113,7 +120,10 @@
                 (false, front.reject(context, connection, Rejection::Full).await)
             }
             Ok(request) => (request.head.keeps_alive(), front.answer(context, connection, request).await),
-            Err(rejection) => (false, front.reject(context, connection, rejection).await),
+            Err(rejection) => {
+                connection.wire.discard_buffer();
+                (false, front.reject(context, connection, rejection).await)
+            }
         };
         let after_answer = match after_answer {
             Ok(after_answer) => after_answer,
@@ -204,95 +214,118 @@
     connection: &mut BufferedConnection,
     received_at: Nanos,
 ) -> io::Result<Result<IncomingRequest, Rejection>> {
-    let (head, framing) = match read_head(context, connection).await? {
+    let mut reserved = context.request_budget.empty_reservation();
+    let (head, framing) = match read_head(context, connection, &mut reserved).await? {
         Ok(read) => read,
-        Err(error) => return Ok(Err(error.into())),
+        Err(rejection) => return Ok(Err(rejection)),
     };
     let StartLine::Request(method, target) = head.start_line.clone() else {
         return Ok(Err(HttpError::Malformed.into()));
     };
+    let head_size = head.memory_size();
+    if !reserved.grow(reserved.size() + head_size) {
+        return Ok(Err(Rejection::Full));
+    }
     if head.expects_continue() && connection.read_buffer.is_empty() {
         connection.write(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await?;
     }
     let body = match framing {
-        BodyFraming::Chunked => read_chunked(context, connection).await?,
-        BodyFraming::Length(length) => read_sized(context, connection, length as usize).await?,
-        BodyFraming::Undeclared => read_sized(context, connection, 0).await?,
+        BodyFraming::Chunked => read_chunked(context, connection, reserved).await?,
+        BodyFraming::Length(length) => read_sized(connection, length as usize, reserved).await?,
+        BodyFraming::Undeclared => read_sized(connection, 0, reserved).await?,
     };
+    connection.release_buffer();
+    let body = body.map(|body| body.finish(head_size));
     Ok(body.map(|body| IncomingRequest { method, target, head, body, received_at, client: None }))
 }
 
-/// Reads a request head and determines the framing of its body.
+/// Reads a request head and determines the framing of its body. The memory of the read buffer is reserved before the buffer
+/// grows, but for the part that each connection has for itself.
 async fn read_head(
     context: &FrontContext,
     connection: &mut BufferedConnection,
-) -> io::Result<Result<(MessageHead, BodyFraming), HttpError>> {
+    reserved: &mut MemoryReservation,
+) -> io::Result<Result<(MessageHead, BodyFraming), Rejection>> {
     let head = loop {
         match MessageHead::parse_request(&mut connection.read_buffer, &context.limits) {
             Ok(Some(head)) => break head,
+            Ok(None)
+                if !reserved
+                    .grow(connection.capacity_for_read(usize::MAX).saturating_sub(UNRESERVED_INPUT)) =>
+            {
+                return Ok(Err(Rejection::Full));
+            }
             Ok(None) => read_more(connection).await?,
-            Err(error) => return Ok(Err(error)),
+            Err(error) => return Ok(Err(error.into())),
         }
     };
     let framing = match head.framing() {
         Ok(framing) => framing,
-        Err(error) => return Ok(Err(error)),
+        Err(error) => return Ok(Err(error.into())),
     };
     if head.is_http_11 && !matches!(head.single_value("host"), Ok(Some(_))) {
-        return Ok(Err(HttpError::Malformed));
+        return Ok(Err(HttpError::Malformed.into()));
     }
     match framing {
         BodyFraming::Length(length) if length > context.limits.max_body_size as u64 => {
-            Ok(Err(HttpError::BodyTooLarge))
+            Ok(Err(HttpError::BodyTooLarge.into()))
         }
         framing => Ok(Ok((head, framing))),
     }
 }
 
-/// Reads a chunked body. Received bytes are charged to the memory budget as they arrive: uncounted slow bodies could
-/// exhaust memory, and reserving announced sizes would leave no budget for clients that do send.
+/// Reads a chunked body. Its memory is reserved as it arrives: unreserved slow bodies could exhaust memory, and reserving
+/// announced sizes would leave no budget for clients that do send.
 async fn read_chunked(
     context: &FrontContext,
     connection: &mut BufferedConnection,
-) -> io::Result<Result<BufferedBody, Rejection>> {
+    reserved: MemoryReservation,
+) -> io::Result<Result<BodyBuffer, Rejection>> {
     let max_bytes = context.limits.max_body_size;
-    let Some(mut reserved) = context.body_budget.reserve(0) else { return Ok(Err(Rejection::Full)) };
-    let (mut reader, mut body) = (BodyReader::new(BodyFraming::Chunked, max_bytes as u64), Vec::new());
+    let mut body = BodyBuffer::new(max_bytes, reserved);
+    let mut reader = BodyReader::new(BodyFraming::Chunked, max_bytes as u64);
     loop {
         match reader.next_part(&mut connection.read_buffer) {
-            Ok(Some(BodyPart::Data(data))) if body.len() + data.len() > max_bytes => {
+            Ok(Some(BodyPart::Data(data))) if data.len() > body.missing() => {
                 return Ok(Err(HttpError::BodyTooLarge.into()));
             }
-            Ok(Some(BodyPart::Data(data))) if reserved.grow(body.len() + data.len()) => {
-                body.extend_from_slice(&data);
-            }
+            Ok(Some(BodyPart::Data(data))) if body.append(&data) => {}
             Ok(Some(BodyPart::Data(_))) => return Ok(Err(Rejection::Full)),
-            Ok(Some(BodyPart::End)) => return Ok(Ok(BufferedBody { bytes: Bytes::from(body), reserved })),
+            Ok(Some(BodyPart::End)) => return Ok(Ok(body)),
             Ok(None) => read_more(connection).await?,
             Err(error) => return Ok(Err(error.into())),
         }
     }
 }
 
-/// Reads a body of a declared length; its bytes are charged to the memory budget as they arrive.
+/// Reads a body of a declared length. Its memory is reserved as it arrives.
 async fn read_sized(
-    context: &FrontContext,
     connection: &mut BufferedConnection,
     length: usize,
-) -> io::Result<Result<BufferedBody, Rejection>> {
-    let Some(mut reserved) = context.body_budget.reserve(0) else { return Ok(Err(Rejection::Full)) };
-    while reserved.grow(connection.read_buffer.len().min(length)) && connection.read_buffer.len() < length {
-        read_more(connection).await?;
-    }
-    if connection.read_buffer.len() < length || !reserved.grow(length) {
-        return Ok(Err(Rejection::Full));
+    reserved: MemoryReservation,
+) -> io::Result<Result<BodyBuffer, Rejection>> {
+    let mut body = BodyBuffer::new(length, reserved);
+    loop {
+        if !body.take_from(&mut connection.read_buffer) {
+            return Ok(Err(Rejection::Full));
+        }
+        match body.missing() {
+            0 => return Ok(Ok(body)),
+            // Memory is reserved only for bytes that have arrived: these come into the read buffer first.
+            _ if body.is_full() => read_more(connection).await?,
+            missing => check_open(connection.read_into(&mut body.bytes, missing).await?)?,
+        }
     }
-    Ok(Ok(BufferedBody { bytes: connection.read_buffer.split_to(length).freeze(), reserved }))
 }
 
 /// Reads more of a request; fails with `UnexpectedEof` if the client closes the connection.
 async fn read_more(connection: &mut BufferedConnection) -> io::Result<()> {
-    match connection.read_more().await? {
+    check_open(connection.read_more().await?)
+}
+
+/// Fails with `UnexpectedEof` if a read has reached the end of the client's input.
+fn check_open(is_open: bool) -> io::Result<()> {
+    match is_open {
         true => Ok(()),
         false => Err(io::ErrorKind::UnexpectedEof.into()),
     }
@@ -303,10 +336,10 @@
 pub async fn close_gracefully(mut connection: BufferedConnection, limit: Duration) {
     use tokio::io::AsyncWriteExt;
     let _ = connection.stream.shutdown().await;
+    connection.discard_buffer();
     let discard_input = async {
-        for _ in 0..64 {
-            connection.read_buffer.clear();
-            if !matches!(connection.read_more().await, Ok(true)) {
+        for _ in 0..MAX_DISCARDING_READS {
+            if !matches!(connection.discard_more().await, Ok(true)) {
                 break;
             }
         }
--- a/router/src/front/context.rs
+++ b/router/src/front/context.rs
@@ -32,8 +32,10 @@
     pub replicas: Rc<ReplicaPool>,
     /// Generates identifiers for requests that carry none.
     pub request_ids: Rc<RequestIds>,
-    /// The memory budget for request bodies.
-    pub body_budget: MemoryBudget,
+    /// The memory budget for requests.
+    pub request_budget: MemoryBudget,
+    /// The memory budget for the parts of answers that have not been written to their clients.
+    pub answer_budget: MemoryBudget,
     /// The memory budget for input beyond the requests that are being answered.
     pub read_ahead_budget: MemoryBudget,
     /// Forwards requests to replicas.
--- a/router/src/front/messages.rs
+++ b/router/src/front/messages.rs
@@ -31,6 +31,9 @@
 /// The error message of status 504.
 const TIMEOUT_MESSAGE: &str = "no answer within the request's deadline";
 
+/// The error message if the memory for answers without streaming is used up.
+const NO_MEMORY_MESSAGE: &str = "too many answers without streaming are in progress; request a stream";
+
 /// The head of a streamed response.
 const STREAM_HEAD: &[u8] =
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
@@ -170,14 +173,19 @@
         if context.dispatcher.is_full() {
             return reject(context, connection, Rejection::Full).await;
         }
+        let IncomingRequest { head, method, target, body: received_body, client: client_address, .. } =
+            request;
+        // Not needed any more, and the answer may take long.
+        drop((head, method, target));
         let body = match translated_body {
-            None => request.body,
+            None => received_body,
             // The translated body replaces the received one.
-            Some(body) => match context.body_budget.reserve(body.len()) {
+            Some(body) => match context.request_budget.reserve(body.len()) {
                 Some(reserved) => BufferedBody { bytes: body.into(), reserved },
                 None => return reject(context, connection, Rejection::Full).await,
             },
         };
+        let ConversationRequest { stream, model, .. } = conversation;
         let same_dialect = context.replicas.dialect == Dialect::Messages;
         let id = context.request_ids.generate();
         let (prompt_tokens, deadline) =
@@ -188,23 +196,24 @@
             target: Bytes::from_static(context.replicas.dialect.path()),
             body,
             idempotency_key,
-            needs_event_text: !(same_dialect && conversation.stream),
-            client_address: request.client,
+            needs_event_text: !(same_dialect && stream),
+            client_address,
         };
         let Some(mut handle) = context.dispatcher.submit(new_request, upstream_request) else {
             return reject(context, connection, Rejection::Twice).await;
         };
         let (mut head_pending, id_field) = (true, format!("Request-Id: {id}\r\n"));
         let mut head = || take_stream_head(context, &mut head_pending, STREAM_HEAD, &id_field);
-        let mut writer = MessagesWriter::new(&id, &conversation.model, prompt_tokens);
+        let mut writer = MessagesWriter::new(&id, &model, prompt_tokens);
         let (mut collected, mut failed) = (CollectedAnswer::default(), false);
+        let mut collected_memory = context.answer_budget.empty_reservation();
         loop {
             let event = match next_event(connection, &mut handle).await {
                 NextEvent::Response(event) => event,
                 NextEvent::ClientDisconnected => return Ok(AfterAnswer::Close),
             };
             match event {
-                ResponseEvent::Data(bytes, events) if conversation.stream => {
+                ResponseEvent::Data(bytes, events) if stream => {
                     failed |= events.contains(&StreamEvent::Failed);
                     let bytes = if same_dialect { bytes } else { writer.write(&events) };
                     if !bytes.is_empty() {
@@ -214,17 +223,14 @@
                 ResponseEvent::Data(_, events) => {
                     events.into_iter().for_each(|event| collected.add(event));
                     if collected.text.len() > context.limits.max_collected_answer_size {
-                        return write_error(
-                            context,
-                            connection,
-                            500,
-                            "",
-                            "the answer exceeds the size limit for answers without streaming",
-                        )
-                        .await;
+                        let message = "the answer exceeds the size limit for answers without streaming";
+                        return write_error(context, connection, 500, "", message).await;
+                    }
+                    if !collected_memory.grow(collected.text.capacity()) {
+                        return write_error(context, connection, 500, "", NO_MEMORY_MESSAGE).await;
                     }
                 }
-                ResponseEvent::End(FinalAnswer::Completed) if conversation.stream => {
+                ResponseEvent::End(FinalAnswer::Completed) if stream => {
                     let rest = if same_dialect { Bytes::new() } else { writer.finish() };
                     if !rest.is_empty() {
                         write_chunk(context, connection, head(), rest).await?;
@@ -234,12 +240,16 @@
                 }
                 ResponseEvent::End(FinalAnswer::Completed) => {
                     let fields = format!("Content-Type: application/json\r\nRequest-Id: {id}\r\n");
-                    let message = collected.to_message(&id, &conversation.model, prompt_tokens);
-                    write_response(context, connection, 200, &fields, message.to_string().into()).await?;
+                    let message = collected.to_message(&id, &model, prompt_tokens).to_string();
+                    drop(collected);
+                    if !collected_memory.grow(message.len()) {
+                        return write_error(context, connection, 500, "", NO_MEMORY_MESSAGE).await;
+                    }
+                    write_response(context, connection, 200, &fields, message.into()).await?;
                     return Ok(AfterAnswer::KeepOpen);
                 }
                 // `message_stop` and the last chunk are left out: the client sees an incomplete answer and can resume it.
-                ResponseEvent::End(FinalAnswer::Interrupted) if conversation.stream => {
+                ResponseEvent::End(FinalAnswer::Interrupted) if stream => {
                     if !(same_dialect && failed) {
                         let error = error_object(
                             "api_error",
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! connections, `connection` reads requests.
 
 mod accept;
+mod body_buffer;
 mod client_connection;
 mod connection;
 mod context;
@@ -65,7 +66,8 @@
 
     /// The value of the `idempotency-key` header field, if the request has one.
     pub fn idempotency_key(&self) -> Result<Option<Bytes>, HttpError> {
-        Ok(self.head.single_value("idempotency-key")?.cloned())
+        // Copied, as a slice would keep the complete head in memory.
+        Ok(self.head.single_value("idempotency-key")?.map(|key| Bytes::copy_from_slice(key)))
     }
 
     /// The part of `timeout`, counted from the arrival of the request, that remains at `now`.
@@ -138,15 +140,24 @@
     }
 }
 
-/// Writes part of a response; fails with `TimedOut` if the client does not read it within the write timeout.
+/// Writes part of a response; fails with `TimedOut` if the client does not read it within the write timeout. The timeout is
+/// shorter while other answers wait for memory.
 pub async fn write(
     context: &FrontContext,
     connection: &mut ClientConnection,
     parts: impl Buf,
 ) -> io::Result<()> {
-    timeout(context.limits.client_write_timeout, connection.wire.write(parts))
-        .await
-        .map_err(|_| io::ErrorKind::TimedOut)?
+    let shorter_timeout = context.limits.client_write_timeout_in_shortage;
+    tokio::select! {
+        biased;
+        written = timeout(context.limits.client_write_timeout, connection.wire.write(parts)) => {
+            written.map_err(|_| io::ErrorKind::TimedOut)?
+        }
+        () = context.answer_budget.shortage_lasting(shorter_timeout) => {
+            tracing::info!(target: "front", "closing a client connection: it is not read, and memory for answers is short");
+            Err(io::ErrorKind::TimedOut.into())
+        }
+    }
 }
 
 /// Writes `head`, if it is not empty, and one chunk, with the same timeout as [`write()`].
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -18,7 +18,8 @@
 use crate::http::HttpError;
 use crate::memory_budget::BufferedBody;
 
-/// The path of requests.
+/// The method and path of requests.
+const REQUEST_METHOD: &[u8] = b"POST";
 const REQUEST_PATH: &[u8] = b"/v1/chat/completions";
 /// The maximum length of a request identifier, bytes.
 const MAX_ID_LENGTH: usize = 128;
@@ -38,11 +39,11 @@
     if request.path() != REQUEST_PATH {
         return Err(Rejection::NotFound);
     }
-    if &request.method[..] != b"POST" {
+    if &request.method[..] != REQUEST_METHOD {
         return Err(Rejection::Method);
     }
     let (head, deployment) = (&request.head, &context.deployment);
-    let id = head.single_value("req-id")?.ok_or(HttpError::Malformed)?.clone();
+    let id = head.single_value("req-id")?.ok_or(HttpError::Malformed)?;
     if id.is_empty() || id.len() > MAX_ID_LENGTH || !id.iter().all(u8::is_ascii_graphic) || !head.is_http_11 {
         return Err(HttpError::Malformed.into());
     }
@@ -84,7 +85,7 @@
             _ => {}
         }
     }
-    Ok((new_request, id))
+    Ok((new_request, Bytes::copy_from_slice(id)))
 }
 
 /// Parses a whole number that consists of digits only, without a sign.
@@ -110,14 +111,16 @@
         return reject(context, connection, Rejection::Full).await;
     }
     let same_dialect = context.replicas.dialect == Dialect::Chat;
-    let IncomingRequest { method, mut target, mut body, client: client_address, .. } = request;
+    let IncomingRequest { head, mut target, mut body, client: client_address, .. } = request;
+    // Not needed any more, and the answer may take long.
+    drop(head);
     if !same_dialect {
         // The replicas speak the messages dialect: request and events are translated.
         let Ok(conversation) = ConversationRequest::parse_chat(&body.bytes) else {
             return reject(context, connection, HttpError::Malformed.into()).await;
         };
         let bytes = conversation.messages_body(context.limits.default_max_tokens);
-        let Some(reserved) = context.body_budget.reserve(bytes.len()) else {
+        let Some(reserved) = context.request_budget.reserve(bytes.len()) else {
             return reject(context, connection, Rejection::Full).await;
         };
         (target, body) = (
@@ -127,7 +130,7 @@
     }
     let upstream_request = UpstreamRequest {
         id,
-        method,
+        method: Bytes::from_static(REQUEST_METHOD),
         target,
         body,
         idempotency_key,
--- a/router/src/front/read_ahead.rs
+++ b/router/src/front/read_ahead.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 
+use super::connection::UNRESERVED_INPUT;
 use crate::http::RequestScanner;
 use crate::limits::Limits;
 use crate::memory_budget::{MemoryBudget, MemoryReservation};
@@ -18,9 +19,8 @@
 #[derive(Debug)]
 pub struct ReadAhead {
     limits: Rc<Limits>,
-    /// The budget that all connections share. Input within the maximum head size needs none.
-    budget: MemoryBudget,
-    reservation: Option<MemoryReservation>,
+    /// Memory reserved in the budget that all connections share, beyond what each connection may use without reserving it.
+    reservation: MemoryReservation,
     scanner: RequestScanner,
     /// Number of bytes received on the connection when input was last recorded.
     recorded: u64,
@@ -38,8 +38,7 @@
     pub fn new(limits: Rc<Limits>, budget: MemoryBudget) -> ReadAhead {
         ReadAhead {
             limits,
-            budget,
-            reservation: None,
+            reservation: budget.empty_reservation(),
             scanner: RequestScanner::default(),
             recorded: 0,
             unscanned: 0,
@@ -53,7 +52,7 @@
     /// have been received on the connection.
     pub fn begin(&mut self, buffered: usize, received: u64) {
         if buffered == 0 {
-            self.reservation = None;
+            self.reservation.shrink(0);
         }
         // Input was read for the request itself: what follows the request in the buffer has not been scanned.
         if received != self.recorded {
@@ -62,6 +61,18 @@
         }
     }
 
+    /// Maximum size of the input that is kept, bytes.
+    pub fn max_size(&self) -> usize {
+        self.limits.max_read_ahead
+    }
+
+    /// Prepares for a read for which the buffer takes `capacity` bytes. Returns whether the buffer may grow to it; if not, what
+    /// is read is dropped.
+    pub fn may_grow(&mut self, capacity: usize) -> bool {
+        self.drops_input |= !self.has_room(0, capacity);
+        !self.drops_input
+    }
+
     /// Records that input was appended to the buffer: `received` bytes have been received on the connection.
     pub fn record(&mut self, received: u64) {
         self.unscanned += (received - self.recorded) as usize;
@@ -76,7 +87,7 @@
         }
         let start = buffer.len() - self.unscanned;
         let end = buffer.len().min(start + MAX_SCAN_SIZE);
-        self.drops_input |= !self.has_room(end);
+        self.drops_input |= !self.has_room(end, buffer.capacity());
         let scanned = self.scanner.scan(&buffer[start..end], &self.limits);
         self.unscanned = buffer.len() - end;
         if self.drops_input {
@@ -97,26 +108,15 @@
         false
     }
 
-    /// Whether `size` bytes may be kept.
-    fn has_room(&mut self, size: usize) -> bool {
-        if size <= self.limits.max_head_size {
-            return true;
-        }
-        if size > self.limits.max_read_ahead {
-            return false;
-        }
-        match &mut self.reservation {
-            Some(reservation) => reservation.grow(size),
-            None => {
-                self.reservation = self.budget.reserve(size);
-                self.reservation.is_some()
-            }
-        }
+    /// Whether `size` bytes may be kept in a buffer with this capacity. Reserves the memory.
+    fn has_room(&mut self, size: usize, capacity: usize) -> bool {
+        let memory = capacity + self.scanner.memory_size();
+        size <= self.limits.max_read_ahead && self.reservation.grow(memory.saturating_sub(UNRESERVED_INPUT))
     }
 
     /// Frees the memory that it uses, once no input is buffered.
     pub fn release(&mut self) {
-        self.reservation = None;
+        self.reservation.shrink(0);
         self.scanner = RequestScanner::default();
     }
 
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -13,7 +13,7 @@
 mod request_scanner;
 
 pub use body::{BodyPart, BodyReader};
-pub use connection::BufferedConnection;
+pub use connection::{BufferedConnection, SMALL_READ_SIZE};
 pub use head::{BodyFraming, MessageHead, StartLine};
 pub use request_scanner::{RequestScanner, ScannedPiece};
 
--- a/router/src/http/body.rs
+++ b/router/src/http/body.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// The size of the chunk that is being received, bytes; `None` unless chunks are returned only once they are complete.
+    pub fn incomplete_chunk_size(&self) -> Option<usize> {
+        match self.position {
+            BodyPosition::Data(left) if self.only_complete_chunks => Some(left as usize),
+            _ => None,
+        }
+    }
+
     fn take_complete_chunk(
         &mut self,
         size: usize,
--- a/router/src/http/head.rs
+++ b/router/src/http/head.rs
@@ -1,6 +1,6 @@
 //! Heads of requests and responses: start line, header fields, and the framing of the body that follows.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 use super::HttpError;
 use crate::limits::Limits;
@@ -14,7 +14,7 @@
     Status(u16),
 }
 
-/// The head of a message. Its parts are slices of the read buffer, not copies.
+/// The head of a message. Its parts are slices of one allocation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MessageHead {
     /// The first line.
@@ -67,7 +67,9 @@
         let span = |part: Option<&str>| Span::within(buffer, part.unwrap_or_default().as_bytes());
         let (method, target) = (span(parsed.method), span(parsed.path));
         let (fields, is_http_11) = (field_spans(buffer, parsed.headers), parsed.version == Some(1));
-        let head = buffer.split_to(length).freeze();
+        // Copied, as a slice would keep the read buffer in memory for as long as the request.
+        let head = Bytes::copy_from_slice(&buffer[..length]);
+        buffer.advance(length);
         let start_line = StartLine::Request(method.slice_of(&head), target.slice_of(&head));
         Ok(Some(MessageHead { start_line, fields: slice_fields(&head, &fields), is_http_11 }))
     }
@@ -87,6 +89,17 @@
         Ok(Some(MessageHead { start_line, fields: slice_fields(&head, &fields), is_http_11 }))
     }
 
+    /// Memory that the parts of the head take, bytes.
+    pub fn memory_size(&self) -> usize {
+        let text = |bytes: &Bytes| bytes.len();
+        let field = |(name, value): &(Bytes, Bytes)| text(name) + text(value) + size_of::<(Bytes, Bytes)>();
+        let start_line = match &self.start_line {
+            StartLine::Request(method, target) => text(method) + text(target),
+            StartLine::Status(_) => 0,
+        };
+        start_line + self.fields.iter().map(field).sum::<usize>()
+    }
+
     /// The values of all fields of a name, compared without regard to case.
     fn values<'head, 'name>(
         &'head self,
--- a/router/src/http/request_scanner.rs
+++ b/router/src/http/request_scanner.rs
@@ -41,9 +41,16 @@
             scanned.request_ends += 1;
             scanned.bytes_after_last_end = self.incomplete.len();
         }
+        // Without spare capacity: many scanners may wait for more input.
+        self.incomplete = BytesMut::from(&self.incomplete[..]);
         scanned
     }
 
+    /// Memory that the scanner uses, bytes.
+    pub fn memory_size(&self) -> usize {
+        self.incomplete.capacity()
+    }
+
     /// Whether the scanned input ends with a complete request.
     pub fn is_at_request_end(&self) -> bool {
         matches!(self.part, ScannedPart::Head) && self.incomplete.is_empty()
--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -26,12 +26,14 @@
     pub default_max_tokens: u64,
     /// Maximum size of a message of the endpoint list, in bytes.
     pub max_list_message_size: usize,
-    /// Maximum total size of all request bodies, in bytes.
-    pub body_budget: usize,
+    /// Maximum total memory of all requests, from their first bytes until no attempt needs them any more, in bytes.
+    pub request_budget: usize,
+    /// Maximum total memory of the parts of answers that have not been written to their clients, in bytes.
+    pub answer_budget: usize,
     /// Maximum size of the requests that a client may send ahead while one is being answered, in bytes. Further ones are
     /// rejected.
     pub max_read_ahead: usize,
-    /// Maximum total size of all requests that clients have sent ahead, in bytes.
+    /// Maximum total memory of the requests that clients have sent ahead, in bytes.
     pub read_ahead_budget: usize,
     /// Maximum number of client connections served at once; further ones are answered 503 and closed.
     pub max_clients: usize,
@@ -68,6 +70,8 @@
     pub immediate_retry_pause: Duration,
     /// Time without write progress after which a client counts as disconnected.
     pub client_write_timeout: Duration,
+    /// The same while other answers wait for the memory that slow clients hold.
+    pub client_write_timeout_in_shortage: Duration,
     /// Time without an event after which a stream that has begun counts as broken.
     pub stream_silence_timeout: Duration,
     /// Timeout of a health check.
@@ -142,7 +146,7 @@
     default_max_tokens: 4096,
     max_list_message_size: 4 << 20,
     max_read_ahead: 1 << 20,
-    response_queue_length: 8,
+    response_queue_length: 2,
     replica_reuse_delay: Duration::from_millis(20),
     client_idle_timeout: Duration::from_secs(20),
     first_request_timeout: Duration::from_millis(2000),
@@ -153,6 +157,7 @@
     immediate_retry_window: Duration::from_millis(20),
     immediate_retry_pause: Duration::from_millis(50),
     client_write_timeout: Duration::from_secs(30),
+    client_write_timeout_in_shortage: Duration::from_secs(1),
     stream_silence_timeout: Duration::from_secs(4),
     health_check_timeout: Duration::from_millis(500),
     watch_silence_timeout: Duration::from_secs(3),
@@ -171,7 +176,8 @@
     drain_time: Duration::from_secs(60),
     status_interval: Duration::from_secs(5),
     min_retry_after: Duration::from_millis(100),
-    body_budget: 0,
+    request_budget: 0,
+    answer_budget: 0,
     read_ahead_budget: 0,
     max_clients: 0,
     max_rejected_clients: 0,
@@ -197,8 +203,9 @@
             deployment.classes.iter().map(|class| nanos(class.deadline)).max().unwrap_or_default();
         let time_to_kill = longest_deadline.min(MAX_KILL_DEADLINE) + KILL_DELAY;
         Limits {
-            body_budget: (memory_mb << 20) / 4,
+            request_budget: (memory_mb << 20) / 4,
             read_ahead_budget: (memory_mb << 20) / 16,
+            answer_budget: (memory_mb << 20) / 16,
             max_clients: usable.saturating_sub(max_replica_connections + max_rejected_clients).max(2),
             max_rejected_clients,
             max_replica_connections,
--- a/router/src/replica/attempt.rs
+++ b/router/src/replica/attempt.rs
@@ -14,7 +14,7 @@
 use super::response::{discard_body, read_head};
 use crate::core::{AttemptResult, FinalAnswer};
 use crate::dialect;
-use crate::dispatcher::{AttemptStart, Dispatcher, ResponseEvent, UpstreamRequest};
+use crate::dispatcher::{AttemptStart, Dispatcher, QueuedEvent, ResponseEvent, UpstreamRequest};
 use crate::http::{BodyFraming, BufferedConnection, MessageHead, StartLine};
 
 /// Nanoseconds per millisecond, the unit of the deadline that is sent to replicas.
@@ -38,7 +38,7 @@
     /// Whether the front needs the text of events in addition to their bytes.
     pub(super) needs_event_text: bool,
     /// Receives the attempt's events once it streams.
-    pub(super) events: mpsc::Sender<ResponseEvent>,
+    pub(super) events: mpsc::Sender<QueuedEvent>,
     /// Whether this attempt's stream goes to the client.
     pub(super) streams: bool,
 }
@@ -55,6 +55,7 @@
             attempt,
             replica,
             deadline,
+
             upstream: Some(upstream),
             needs_event_text,
             events,
@@ -75,7 +76,7 @@
         self.dispatcher.attempt_finished(self.request, self.attempt);
         self.dispatcher.with_core(|core, now| core.attempt_ended(now, self.request, self.attempt, result));
         if self.streams {
-            let _ = self.events.send(ResponseEvent::End(answer)).await;
+            let _ = self.events.send(ResponseEvent::End(answer).into()).await;
         }
     }
 
--- a/router/src/replica/context.rs
+++ b/router/src/replica/context.rs
@@ -6,6 +6,7 @@
 use super::pool::ReplicaPool;
 use crate::clock::Clock;
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 
 /// Number of sweeps for expired idle connections within one idle timeout.
 const SWEEPS_PER_IDLE_TIMEOUT: u32 = 16;
@@ -14,6 +15,8 @@
 pub struct ReplicaContext {
     /// The replicas and the connections to them.
     pub pool: Rc<ReplicaPool>,
+    /// The memory budget for the parts of answers that have not been written to their clients.
+    pub answer_budget: MemoryBudget,
     /// The limits on the size and time of responses.
     pub limits: Rc<Limits>,
     /// The clock.
@@ -26,8 +29,14 @@
 
 impl ReplicaContext {
     /// Creates the context of a router.
-    pub fn new(pool: Rc<ReplicaPool>, limits: Rc<Limits>, clock: Clock, report_fields: Vec<String>) -> Self {
-        ReplicaContext { pool, limits, clock, report_fields, unknown_events: Cell::new(0) }
+    pub fn new(
+        pool: Rc<ReplicaPool>,
+        answer_budget: MemoryBudget,
+        limits: Rc<Limits>,
+        clock: Clock,
+        report_fields: Vec<String>,
+    ) -> Self {
+        ReplicaContext { pool, answer_budget, limits, clock, report_fields, unknown_events: Cell::new(0) }
     }
 }
 
--- a/router/src/replica/relay.rs
+++ b/router/src/replica/relay.rs
@@ -8,8 +8,15 @@
 use super::attempt::Attempt;
 use crate::core::AttemptResult;
 use crate::dialect::{self, Dialect, EventSplitter, StreamEvent};
-use crate::dispatcher::ResponseEvent;
+use crate::dispatcher::{QueuedEvent, ResponseEvent};
 use crate::http::{BodyFraming, BodyPart, BodyReader, BufferedConnection};
+use crate::memory_budget::MemoryReservation;
+
+/// Size up to which the memory of an event is not reserved, bytes. Most events are smaller.
+const UNRESERVED_EVENT_SIZE: usize = 2 << 10;
+/// Memory for a chunk that is being received, as a multiple of its size: the read buffer doubles as it grows, and the events
+/// are copied from it.
+const CHUNK_MEMORY_FACTOR: usize = 3;
 
 /// The result of relaying a response.
 pub(super) struct Relayed {
@@ -33,6 +40,8 @@
     buffered: BytesMut,
     /// The parsed form of the events in `buffered`.
     buffered_events: Vec<StreamEvent>,
+    /// The memory of a large event that is being received.
+    memory: MemoryReservation,
     result: AttemptResult,
     /// Whether the response counts as complete once its body ends: from the start for a chat stream, and for a messages stream
     /// once the event that marks its completion has arrived.
@@ -46,6 +55,7 @@
         let body = BodyReader::for_response(framing, attempt.context.limits.max_event_size);
         // A messages stream marks its completion with an event; a chat stream is complete at its last chunk.
         let complete = attempt.context.pool.dialect == Dialect::Chat;
+        let memory = attempt.context.answer_budget.empty_reservation();
         Relay {
             attempt,
             framing,
@@ -53,6 +63,7 @@
             events: EventSplitter::default(),
             buffered: BytesMut::new(),
             buffered_events: Vec::new(),
+            memory,
             result: AttemptResult { load_report, ..Outcome::ConnectionReset.into() },
             complete,
             last_event_at: Instant::now(),
@@ -70,6 +81,10 @@
             match self.body.next_part(&mut wire.read_buffer).map_err(|_| RelayStopped)? {
                 Some(BodyPart::Data(data)) => {
                     let complete_events = self.events.push(&data);
+                    if data.len() > UNRESERVED_EVENT_SIZE {
+                        drop(data);
+                        wire.shrink_buffer();
+                    }
                     if self.events.incomplete_size() > self.attempt.context.limits.max_event_size {
                         return Err(RelayStopped);
                     }
@@ -88,11 +103,45 @@
                     }
                     return Ok(());
                 }
-                None => self.read_more(wire).await?,
+                None => {
+                    let chunk_size = self.body.incomplete_chunk_size().unwrap_or(0);
+                    let buffered = self.events.incomplete_size() + self.buffered.len();
+                    self.reserve_memory(buffered + chunk_size * CHUNK_MEMORY_FACTOR).await?;
+                    self.read_more(wire).await?;
+                }
             }
         }
     }
 
+    /// Reserves memory for an event of `size` bytes, unless it is small. Waits while slow clients hold the memory; the response
+    /// stays unread meanwhile.
+    async fn reserve_memory(&mut self, size: usize) -> Result<(), RelayStopped> {
+        if size <= UNRESERVED_EVENT_SIZE || self.memory.grow(size) {
+            return Ok(());
+        }
+        let limit = self.attempt.context.limits.stream_silence_timeout;
+        tokio::time::timeout(limit, self.memory.grow_when_available(size)).await.map_err(|_| {
+            tracing::warn!(target: "node", request = self.attempt.request.0, size,
+                "response abandoned: memory for answers is short");
+            RelayStopped
+        })?;
+        // The replica was not silent: its response was not read.
+        self.last_event_at = Instant::now();
+        Ok(())
+    }
+
+    /// Takes the memory of an event of `size` bytes that goes to the front.
+    async fn take_memory(&mut self, size: usize) -> Result<Option<MemoryReservation>, RelayStopped> {
+        self.reserve_memory(size).await?;
+        self.memory.shrink(size);
+        if size <= UNRESERVED_EVENT_SIZE {
+            self.memory.shrink(0);
+            return Ok(None);
+        }
+        let empty = self.attempt.context.answer_budget.empty_reservation();
+        Ok(Some(std::mem::replace(&mut self.memory, empty)))
+    }
+
     /// Reads more of the response. Once the stream has begun, the silence timeout applies; before that, the core's first-token
     /// timeout does.
     async fn read_more(&self, wire: &mut BufferedConnection) -> Result<(), RelayStopped> {
@@ -127,7 +176,9 @@
             (bytes, events) = (self.buffered.split().freeze(), std::mem::take(&mut self.buffered_events));
             self.begin_stream(failed)?;
         }
-        if self.attempt.events.send(ResponseEvent::Data(bytes, events)).await.is_err() || failed {
+        let memory = self.take_memory(bytes.len()).await?;
+        let event = QueuedEvent { event: ResponseEvent::Data(bytes, events), memory };
+        if self.attempt.events.send(event).await.is_err() || failed {
             return Err(RelayStopped);
         }
         self.last_event_at = Instant::now();
--- a/router/src/status.rs
+++ b/router/src/status.rs
@@ -48,7 +48,7 @@
          timers {timers}, memory left for bodies {} KiB",
         components.clients.open(),
         components.request_ids.len(),
-        components.body_budget.available() >> 10,
+        components.request_budget.available() >> 10,
     );
     for replica in replicas {
         format_replica(components, &replica, &mut line);
--- a/test-support/src/resource_usage.rs
+++ b/test-support/src/resource_usage.rs
@@ -105,12 +105,6 @@
         Duration::from_millis(ticks * 10)
     }
 
-    fn peak_memory(&self) -> u64 {
-        let status = self.file("status");
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap_or_default();
-        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap_or(0) * 1024
-    }
-
     fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.0.pid())).map_or(0, Iterator::count)
     }
@@ -146,7 +140,7 @@
     clients.abort();
     Ok(Usage {
         cpu: router.cpu(),
-        peak_memory: router.peak_memory(),
+        peak_memory: router.0.peak_memory(),
         descriptors,
         connections: counts.connections.get(),
         list_bytes: counts.list_bytes.get(),
--- a/test-support/src/router_process.rs
+++ b/test-support/src/router_process.rs
@@ -57,6 +57,13 @@
         self.child.id()
     }
 
+    /// Returns the largest resident memory up to now in bytes; 0 once the process has exited.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or_default();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap_or(0) * 1024
+    }
+
     /// Waits until the router is ready.
     ///
     /// # Errors
