Renumber versions skipped by further bootstrap rounds in the stored files test

Cause: routers_start_from_recorded_files_and_serve recorded version 1000042, which is that of one bootstrap round. If a member has accepted the first state when the others promise a higher ballot, a second round follows and skips another 1,000,000 versions: 2000042. The test of commands knew this, this one did not. Change: both tests use one module, which requires that the version differs by whole rounds and renumbers the text before it is compared byte for byte. Result: as strict but for the number of rounds.

--- a/router/tests/recorded_fleet/main.rs
+++ b/router/tests/recorded_fleet/main.rs
@@ -2,6 +2,7 @@
 //! `RECORD=1 cargo test -p tallypin-router --test recorded_fleet` writes those files.
 #![allow(missing_docs)]
 
+mod bootstrap_rounds;
 mod command_line;
 mod commands;
 mod files;
