Stop sending by a list whose changes would count as notified

Cause: when to call for the list went by the 6 s notification limit, whether the list may be used went by nothing.

Change: the decision module knows since when changes may be missed. Once discovery has answered a call without a list, requests are sent only until 6 s and the grace for drains after that, less 0.15 s for a delayed write; then they are rejected until the list is received. Calls that do not reach discovery (refused, reset, closed, unanswered) move that time on, so an outage does not stop work. Not where lists are pushed or peers report drains. Rules.DrainGraceNs is read.

Why this works: a change that the router missed counts as notified 6 s after discovery had it and could be reached, so no request is sent later than the grace after that.

Tests changed: the mock's discovery that is down closes calls without an answer, as a process that is gone does; it answered 503 like a crowded one.

--- a/router/src/core/mod.rs
+++ b/router/src/core/mod.rs
@@ -115,7 +115,7 @@
     /// this call on. It may not if the request is finished or must not be sent again.
     pub fn may_write(&mut self, now: Nanos, id: RequestId, attempt: u32) -> bool {
         let Some(open) = self.requests.get_mut(&id) else { return false };
-        let may_write = open.may_write(now, attempt);
+        let may_write = open.may_write(now, attempt) && self.balancer.may_send_by_list(now);
         if let Some(attempt) = open.in_flight_mut(attempt).filter(|_| may_write) {
             attempt.written = true;
         }
@@ -394,6 +394,11 @@
         });
     }
 
+    /// Whether requests may be sent by the known endpoint list at `now`; false if it may be outdated for too long.
+    pub fn may_send_by_list(&self, now: Nanos) -> bool {
+        self.balancer.may_send_by_list(now)
+    }
+
     /// The decision module's view of the replicas that accept requests.
     pub fn replica_snapshots(&self, now: Nanos) -> Vec<ReplicaSnapshot> {
         self.balancer.replica_snapshots(now)
--- a/router/src/endpoint_list/apply.rs
+++ b/router/src/endpoint_list/apply.rs
@@ -40,9 +40,8 @@
     context.dispatcher.with_core(|core, now| core.endpoints_changed(now, kind, entries));
     match kind {
         ListUpdate::Delta | ListUpdate::Override => context.replicas.remove(&removed),
-        ListUpdate::Full | ListUpdate::Cached | ListUpdate::Failed | ListUpdate::Truncated => {
-            context.replicas.retain(|id| listed.contains(&id))
-        }
+        ListUpdate::Full | ListUpdate::Cached => context.replicas.retain(|id| listed.contains(&id)),
+        ListUpdate::Failed | ListUpdate::Silent | ListUpdate::TurnedAway | ListUpdate::Truncated => {}
     }
 }
 
--- a/router/src/endpoint_list/mod.rs
+++ b/router/src/endpoint_list/mod.rs
@@ -80,6 +80,7 @@
     let mut address = context.state.address();
     let mut current = SourceWatch::new(*address.borrow_and_update(), timeouts.current, None);
     let mut next: Option<SourceWatch> = None;
+    let mut next_turns_away = false;
     if context.deployment.decision_settings.list_mode == EndpointListMode::Pushed {
         current.source.clock.request_watch(context.clock.now());
     }
@@ -98,10 +99,12 @@
             moved = address.changed() => {
                 // Fails only if the sender was dropped, but the context holds it.
                 if moved.is_err() { return };
+                next_turns_away = false;
                 next = Some(create_next_source(&context, &current, *address.borrow_and_update(), timeouts.next));
             }
             lost = or_pending(next.as_mut().map(|next| next.run(&context))) => {
                 let address = next_source.as_ref().map(|source| source.address);
+                next_turns_away = lost.update() == ListUpdate::TurnedAway;
                 log_lost(&context, address, &lost, "watch at the new endpoint list source lost, reconnecting");
             }
             // A new request means that the previous one has not been answered in time.
@@ -113,7 +116,13 @@
             }
             lost = current.run(&context) => {
                 log_lost(&context, Some(current.source.address), &lost, "endpoint list watch lost");
-                let update = if lost.truncated { ListUpdate::Truncated } else { ListUpdate::Failed };
+                let update = match lost.update() {
+                    // The former address cannot be reached, but the service at the new one can.
+                    ListUpdate::Failed if next_turns_away && next.is_some() && !lost.established => {
+                        ListUpdate::TurnedAway
+                    }
+                    update => update,
+                };
                 context.dispatcher.with_core(|core, now| core.endpoints_changed(now, update, Vec::new()));
             }
         }
--- a/router/src/endpoint_list/source.rs
+++ b/router/src/endpoint_list/source.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tallypin::api::ListUpdate;
 use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
@@ -66,6 +67,18 @@
     pub losses: u32,
 }
 
+impl LostWatch {
+    /// The update that reports the loss to the decision module.
+    pub fn update(&self) -> ListUpdate {
+        match &self.error {
+            _ if self.truncated => ListUpdate::Truncated,
+            WatchError::Silent if self.established => ListUpdate::Silent,
+            error if !self.established && error.is_answer() => ListUpdate::TurnedAway,
+            _ => ListUpdate::Failed,
+        }
+    }
+}
+
 /// A running watch, which resolves to the reason for its loss.
 type WatchFuture = Pin<Box<dyn Future<Output = WatchError>>>;
 
--- a/router/src/endpoint_list/watch.rs
+++ b/router/src/endpoint_list/watch.rs
@@ -44,6 +44,26 @@
     Silent,
 }
 
+impl WatchError {
+    /// Whether the service has answered, but not with a list: it can be reached.
+    pub fn is_answer(&self) -> bool {
+        match self {
+            WatchError::ConnectTimeout
+            | WatchError::Io(_)
+            | WatchError::ClosedBeforeHead
+            | WatchError::Closed
+            | WatchError::Silent => false,
+            WatchError::MalformedHead
+            | WatchError::UnexpectedResponse(_)
+            | WatchError::MalformedChunk
+            | WatchError::NotAnObject
+            | WatchError::InvalidMessage(_)
+            | WatchError::MessageTooLarge(_)
+            | WatchError::Ended => true,
+        }
+    }
+}
+
 impl fmt::Display for WatchError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/router/tests/discovery_trials.rs
+++ b/router/tests/discovery_trials.rs
@@ -50,6 +50,13 @@
     assert_no_late_requests("127.2.12.1", &Scenario::refused_at_start(1), 500);
 }
 
+/// review/9: all watches end while discovery has too many callers, and a replica drains. The routers are turned away for longer
+/// than the drain may stay unknown, and may send each other nothing. They went on sending to the replica.
+#[test]
+fn routers_that_are_turned_away_stop_sending_by_their_old_list() {
+    assert_no_late_requests("127.2.12.4", &Scenario::turned_away(1), 300);
+}
+
 /// Seed 3039 of 50 random series of changes: a router sent to a draining replica 0.25 s too late. It had been down
 /// when the replica began to drain, called 1.9 s after its start, and got a truncated list twice. The cause: the
 /// limit of 6 s for changes that a router missed was counted from its start, as if it had known the list until
--- a/router/tests/list_watch.rs
+++ b/router/tests/list_watch.rs
@@ -14,6 +14,7 @@
 use tallypin_router::peers::Peers;
 use tallypin_router::reload::{self, StartupConfiguration};
 use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -169,6 +170,72 @@
     });
 }
 
+/// Time without the list after which a router must no longer use it if calls are turned away. The settings of these tests have
+/// no grace for drains.
+const NOTIFICATION_LIMIT: Duration = Duration::from_secs(6);
+
+/// A router without peers that has lost its watch.
+async fn router_without_watch(replica: &MockReplica, list: &TcpListener) -> TestRouter {
+    let mut config = config();
+    config.endpoint_list_agent = list.local_addr().unwrap();
+    config.deployment.decision_settings.has_peers = false;
+    let router = TestRouter::with_config(config, Chat, &[], None).await;
+    let (mut call, _) = accept_list_call(list).await;
+    call.send(&(WATCH_HEAD.to_string() + &list_message_chunk(41, true, "s-1", replica, "active"))).await;
+    wait_until(|| router.components.replicas.ready_count() == 1).await;
+    router
+}
+
+/// Answers all calls but the first with status 503.
+async fn turn_calls_away(list: TcpListener) {
+    loop {
+        let (mut call, _) = accept_list_call(&list).await;
+        call.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").await;
+    }
+}
+
+/// Resets all calls without an answer.
+async fn reset_calls(list: TcpListener) {
+    while let Ok((call, _)) = list.accept().await {
+        let _ = call.set_zero_linger();
+    }
+}
+
+/// Guards against review/9: a router whose calls are turned away goes on using its list. One that cannot reach the service has to
+/// go on, however its calls fail: refusing all work for as long as the service is down would be an outage of its own.
+#[test]
+fn a_list_is_used_for_longer_only_while_its_service_cannot_be_reached() {
+    run_test(async {
+        let replica = MockReplica::new(Chat).await;
+        let lists = [listener().await, listener().await, listener().await];
+        let mut routers = Vec::new();
+        for list in &lists {
+            routers.push(router_without_watch(&replica, list).await);
+        }
+        let [turning_away, resetting, down] = lists;
+        let turning_away = spawn_local(turn_calls_away(turning_away));
+        let resetting = spawn_local(reset_calls(resetting));
+        drop(down);
+        let lost_at = tokio::time::Instant::now();
+        let status =
+            async |router: &TestRouter| Client::connect(router.addr).await.send_platform_request("").await.0;
+        while lost_at.elapsed() < NOTIFICATION_LIMIT - 500 * MS {
+            for router in &routers {
+                assert_eq!(status(router).await, 200, "after {:?}", lost_at.elapsed());
+            }
+            tokio::time::sleep(50 * MS).await;
+        }
+        tokio::time::sleep_until(lost_at + NOTIFICATION_LIMIT + 100 * MS).await;
+        while lost_at.elapsed() < NOTIFICATION_LIMIT + 2000 * MS {
+            let statuses = [status(&routers[0]).await, status(&routers[1]).await, status(&routers[2]).await];
+            assert_eq!(statuses, [503, 200, 200], "after {:?}", lost_at.elapsed());
+            tokio::time::sleep(50 * MS).await;
+        }
+        turning_away.abort();
+        resetting.abort();
+    });
+}
+
 /// Returns a free UDP address for a router to bind. The IP is used by this test alone, so no other test is given the port.
 fn free_udp_address(ip: &str) -> SocketAddr {
     std::net::UdpSocket::bind((ip, 0)).unwrap().local_addr().unwrap()
--- a/simulator/src/world.rs
+++ b/simulator/src/world.rs
@@ -220,6 +220,7 @@
             can_probe: false,
             max_retry_after: 2 * SECOND,
             list_mode: EndpointListMode::Pushed,
+            drain_grace: SECOND / 2,
             report_fields: vec![],
             initial_capacity_share: plan.initial_speed_share,
             warm_up_time: plan.warm_up_time,
--- a/src/api/endpoint.rs
+++ b/src/api/endpoint.rs
@@ -75,9 +75,23 @@
     /// Changed entries only, from an override by this router's operators. An override does not show that the router
     /// receives the list.
     Override,
-    /// A poll failed or the watch ended. No entries.
+    /// A poll did not reach the list service, or the service closed the watch. No entries.
     Failed,
-    /// The answer to a poll broke off after it had begun. Unlike a refused poll, a truncated answer shows that the list
-    /// service is not overloaded. No entries.
+    /// The watch fell silent. No entries.
+    Silent,
+    /// The list service answered a poll without a list: it has too many callers. No entries.
+    TurnedAway,
+    /// The answer to a poll broke off after it had begun. Unlike a poll that was turned away, a truncated answer shows that
+    /// the list service is not overloaded. No entries.
     Truncated,
 }
+
+impl ListUpdate {
+    /// Whether the update reports a failure and has no entries.
+    pub fn is_failure(self) -> bool {
+        matches!(
+            self,
+            ListUpdate::Failed | ListUpdate::Silent | ListUpdate::TurnedAway | ListUpdate::Truncated
+        )
+    }
+}
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -81,6 +81,8 @@
     pub max_retry_after: Nanos,
     /// How updates of the endpoint list arrive.
     pub list_mode: EndpointListMode,
+    /// Time after the notification of a drain in which requests may still be sent to the replica.
+    pub drain_grace: Nanos,
     /// Fields of a load report, in order.
     pub report_fields: Vec<LoadField>,
     /// Minimum capacity of a replica at its start, as a share of its full capacity, 0 to 1.
--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -56,7 +56,7 @@
         entries: Vec<EndpointEntry>,
         out: &mut Vec<Action>,
     ) {
-        if matches!(kind, ListUpdate::Failed | ListUpdate::Truncated) {
+        if kind.is_failure() {
             return self.handle_list_failure(now, kind, out);
         }
         // An operator override does not show that the list is received: a router without a watch has to keep
@@ -83,11 +83,10 @@
         self.statistics.init_ready_replica_count(self.replicas.ready().len());
     }
 
-    /// Schedules the next poll after a failed poll or the end of a watch; the two are not distinguished. The
-    /// less time is left until the router counts as notified of the changes it has missed, the sooner it
+    /// Schedules the next poll after a failed poll or the end of a watch. The less time is left until the router counts as notified of the changes it has missed, the sooner it
     /// polls.
     fn handle_list_failure(&mut self, now: Nanos, kind: ListUpdate, out: &mut Vec<Action>) {
-        self.list_polling.record_list_failure(now);
+        self.list_polling.record_list_failure(now, kind);
         if let EndpointListMode::Polled { .. } = self.settings.list_mode {
             let interval = match kind {
                 // A truncated answer shows that the service is not overloaded: polls again at the shortest
@@ -101,6 +100,14 @@
         self.schedule_drain_queries(now, out);
     }
 
+    /// Returns whether requests may be sent by the known list at `now`. Where peers report drains to each other, a
+    /// crowd at the list service keeps no drain from this router, and the list may always be used.
+    pub fn may_send_by_list(&self, now: Nanos) -> bool {
+        let hears_notices = self.settings.has_peers && self.settings.router_count > 1;
+        let is_polled = matches!(self.settings.list_mode, EndpointListMode::Polled { .. });
+        !is_polled || hears_notices || self.list_polling.is_list_usable(now, self.settings.drain_grace)
+    }
+
     /// Marks replicas that are missing from a full list as gone.
     fn mark_unlisted_gone(&mut self, now: Nanos, entries: &[EndpointEntry], kind: ListUpdate) {
         let listed: FxHashSet<_> = entries.iter().map(|entry| entry.replica).collect();
--- a/src/decisions/ranking.rs
+++ b/src/decisions/ranking.rs
@@ -50,9 +50,10 @@
 }
 
 impl Balancer {
-    /// Returns the best replica for the next attempt of a request; `None` if no ready replica is eligible.
+    /// Returns the best replica for the next attempt of a request; `None` if no ready replica is eligible, or the list
+    /// is too old to tell which are ready.
     pub(super) fn select_replica(&mut self, now: Nanos, state: &RequestState) -> Option<Selection> {
-        if self.replicas.ready().is_empty() {
+        if self.replicas.ready().is_empty() || !self.may_send_by_list(now) {
             return None;
         }
         let mut candidates = std::mem::take(&mut self.candidates);
--- a/src/deployment/document.rs
+++ b/src/deployment/document.rs
@@ -86,6 +86,7 @@
     answer_slack_ns: u64,
     cold_ns: u64,
     cold_share: f64,
+    drain_grace_ns: u64,
     fall_multiple: f64,
     fall_ns: u64,
     must_ask_in_ns: u64,
@@ -97,6 +98,7 @@
             answer_slack_ns: 0,
             cold_ns: 30 * SECOND,
             cold_share: 0.1,
+            drain_grace_ns: 0,
             // Below the protocol's example of 2.5, as a deployment that states no multiple may have a lower one.
             fall_multiple: 2.0,
             fall_ns: 2 * SECOND,
@@ -185,6 +187,7 @@
                 "on_request" => EndpointListMode::Polled { max_poll_interval: rules.must_ask_in_ns },
                 _ => EndpointListMode::Pushed,
             },
+            drain_grace: rules.drain_grace_ns,
             report_fields: self.report.fields.iter().map(|name| load_field(name)).collect(),
             initial_capacity_share: rules.cold_share,
             warm_up_time: rules.cold_ns,
--- a/test-support/src/discovery_runs/discovery.rs
+++ b/test-support/src/discovery_runs/discovery.rs
@@ -26,7 +26,7 @@
 /// The outcome of a list call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallOutcome {
-    /// The call was refused because discovery is at capacity or down.
+    /// The call was answered 503 because discovery is at capacity, or closed because it is down.
     Refused,
     /// The call was accepted and never answered.
     Hung,
@@ -221,6 +221,10 @@
             record(CallOutcome::Hung);
             return wait_for_close(&mut connection).await;
         }
+        if self.down.get() {
+            record(CallOutcome::Refused);
+            return Ok(());
+        }
         let Some(answer_at) = self.reserve_turn() else {
             record(CallOutcome::Refused);
             return connection.write(REFUSED_RESPONSE).await;
@@ -228,7 +232,7 @@
         sleep_until(answer_at).await;
         if self.down.get() {
             record(CallOutcome::Refused);
-            return connection.write(REFUSED_RESPONSE).await;
+            return Ok(());
         }
         let at_start = *interruptions.borrow_and_update();
         let (version, text) = self.list_message(since);
@@ -268,7 +272,7 @@
     fn reserve_turn(&self) -> Option<Instant> {
         let now = Instant::now();
         let answer_at = self.free_at.get().max(now) + self.scenario.answer_time;
-        if self.down.get() || self.at_capacity.get() || answer_at - now > MAX_QUEUE_TIME {
+        if self.at_capacity.get() || answer_at - now > MAX_QUEUE_TIME {
             return None;
         }
         self.free_at.set(answer_at);
--- a/test-support/src/discovery_runs/scenario.rs
+++ b/test-support/src/discovery_runs/scenario.rs
@@ -68,7 +68,7 @@
 /// Faults of discovery.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
-    /// Discovery refuses each call with 503 and ends all watches.
+    /// Discovery cannot be reached: each call is closed without an answer, and all watches end.
     Down {
         /// Start of the fault.
         at: Duration,
@@ -182,6 +182,20 @@
         }
     }
 
+    /// All watches end while discovery is at capacity, and a replica drains; no router hears of it in time. Routers that go on
+    /// sending are late.
+    pub fn turned_away(seed: u64) -> Scenario {
+        Scenario {
+            routers: 8,
+            faults: vec![
+                Fault::WatchesEnd(ms(1_000)),
+                Fault::AtCapacity { at: ms(1_000), length: Duration::from_secs(60) },
+            ],
+            changes: vec![drain(ms(1_500))],
+            ..Scenario::refused_at_start(seed)
+        }
+    }
+
     /// All routers are down while a replica drains, and the first answers after their start are truncated.
     pub fn truncated_after_restart(seed: u64) -> Scenario {
         Scenario {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -38,6 +38,7 @@
         can_probe: false,
         max_retry_after: 2 * SECOND,
         list_mode: EndpointListMode::Pushed,
+        drain_grace: SECOND / 2,
         report_fields: vec![],
         initial_capacity_share: 0.2,
         warm_up_time: 10 * SECOND,
--- a/tests/list_polling.rs
+++ b/tests/list_polling.rs
@@ -169,3 +169,81 @@
         );
     }
 }
+
+/// Runs a router that fails a poll with `failure` each second, from the end of its watch on. Returns for how long after that
+/// requests are sent to replicas, at most `until`.
+fn time_of_use(settings: &Settings, failure: ListUpdate, until: Nanos) -> Nanos {
+    let mut router = TestRouter::with_replicas(settings.clone(), 1, 3);
+    router.update_list(ListUpdate::Full, (0..3).map(ready_entry).collect());
+    router.run_to(router.now + 60 * SECOND);
+    router.update_list(ListUpdate::Failed, vec![]);
+    let ended_at = router.now;
+    for step in 1.. {
+        router.run_to(ended_at + step * SECOND / 20);
+        if step % 20 == 0 {
+            router.update_list(failure, vec![]);
+        }
+        let actions = router.submit(request(step));
+        if TestRouter::sent_to(&actions).is_none() {
+            let reason = RejectReason::NoCapacity;
+            assert!(matches!(actions[..], [Action::Reject { reason: r, .. }] if r == reason), "{actions:?}");
+            break;
+        }
+        router.end_attempt(RequestId(step), 0, Outcome::Completed);
+        if router.now >= ended_at + until {
+            break;
+        }
+    }
+    let time_of_use = router.now - ended_at;
+    router.update_list(ListUpdate::Full, (0..3).map(ready_entry).collect());
+    let actions = router.submit(request(1_000_000));
+    assert!(TestRouter::sent_to(&actions).is_some(), "a router that has the list again uses it");
+    time_of_use
+}
+
+/// Guards against review/9: a crowd at the list service leaves a router without the list for longer than a change of it may stay
+/// unknown. Requests are rejected then; a service that cannot be reached tells nobody, and the known list stays in use.
+#[test]
+fn the_list_is_used_past_the_notification_limit_only_if_its_service_cannot_be_reached() {
+    let settings = Settings { drain_grace: SECOND * 3 / 4, ..polled_settings(30) };
+    let until = 30 * SECOND;
+    // The grace, less the time for which the router may be held up before it writes.
+    let limit = NOTIFICATION_LIMIT + SECOND * 3 / 5;
+    for failure in [ListUpdate::TurnedAway, ListUpdate::Truncated] {
+        let time = time_of_use(&settings, failure, until);
+        assert!((limit..limit + SECOND / 10).contains(&time), "{failure:?}: used for {time} ns");
+    }
+    assert_eq!(time_of_use(&settings, ListUpdate::Failed, until), until);
+    let with_peers = Settings { has_peers: true, ..settings.clone() };
+    assert_eq!(time_of_use(&with_peers, ListUpdate::TurnedAway, until), until, "peers report drains");
+    let pushed = Settings { list_mode: EndpointListMode::Pushed, ..settings };
+    assert_eq!(time_of_use(&pushed, ListUpdate::TurnedAway, until), until, "an agent has no crowd");
+}
+
+/// What a silent watch missed counts from the last sign of life; after an outage, changes count from its end.
+#[test]
+fn the_notification_limit_counts_from_the_last_time_without_missed_changes() {
+    let settings = Settings { drain_grace: SECOND / 2, ..polled_settings(30) };
+    let limit = NOTIFICATION_LIMIT + SECOND * 7 / 20;
+    for (updates, expected) in [
+        (&[ListUpdate::Silent, ListUpdate::TurnedAway][..], limit - 3 * SECOND),
+        (&[ListUpdate::Failed, ListUpdate::TurnedAway], limit),
+        (
+            &[ListUpdate::Failed, ListUpdate::TurnedAway, ListUpdate::Failed, ListUpdate::TurnedAway],
+            limit + SECOND,
+        ),
+    ] {
+        let mut router = TestRouter::with_replicas(settings.clone(), 1, 3);
+        router.update_list(ListUpdate::Full, (0..3).map(ready_entry).collect());
+        router.run_to(router.now + 60 * SECOND);
+        let lost_at = router.now;
+        for (number, &update) in updates.iter().enumerate() {
+            router.run_to(lost_at + number as Nanos / 2 * SECOND);
+            router.update_list(update, vec![]);
+        }
+        for (at, is_usable) in [(expected - SECOND / 100, true), (expected, false)] {
+            router.run_to(lost_at + at);
+            assert_eq!(router.balancer.may_send_by_list(router.now), is_usable, "{updates:?}");
+        }
+    }
+}
