Pass on the events of a chunk that a replica writes slowly

What callers saw: a long answer that its replica was still writing was cut off: 40 events in one chunk, one each 0.2 s, got 503 at the deadline of 4 s, with nothing passed on (real processes).

Cause: a chunk was relayed only when it was whole, so that no byte of a malformed one is. Its events were held back until the deadline, or until the stream counted as silent.

Change: the complete and well-formed events of a chunk that has been incomplete for 0.2 s are relayed. Framing that a wrong chunk size has swallowed is no field of an event and is not relayed.

--- a/router/src/dialect/mod.rs
+++ b/router/src/dialect/mod.rs
@@ -17,7 +17,7 @@
 pub use event::{StopReason, StreamEvent};
 pub use load_report::parse_load_report;
 pub use request::{ConversationRequest, RequestBodyError};
-pub use splitter::EventSplitter;
+pub use splitter::{size_of_well_formed_events, EventSplitter};
 pub use write::{ChatWriter, CollectedAnswer, MessagesWriter};
 
 /// The start of a stream comment that carries a load report.
--- a/router/src/dialect/splitter.rs
+++ b/router/src/dialect/splitter.rs
@@ -6,6 +6,9 @@
 /// length less one byte.
 const END_OVERLAP: usize = 3;
 
+/// Starts of the lines of an event: its fields, and comments.
+const FIELD_STARTS: [&[u8]; 5] = [b"data:", b":", b"event:", b"id:", b"retry:"];
+
 /// Splits a stream at the ends of its events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -39,6 +42,22 @@
     }
 }
 
+/// Size of the complete and well-formed events at the front of `data`, bytes. Where the size of a chunk is wrong, framing follows
+/// the events, which is no field of an event.
+pub fn size_of_well_formed_events(data: &[u8]) -> usize {
+    let (mut position, mut end) = (0, 0);
+    for line in data.split_inclusive(|byte| *byte == b'\n') {
+        position += line.len();
+        let text = line.trim_ascii_end();
+        match line.ends_with(b"\n") {
+            true if text.is_empty() => end = position,
+            true if FIELD_STARTS.iter().any(|start| text.starts_with(start)) => {}
+            _ => return end,
+        }
+    }
+    end
+}
+
 /// The offset behind the last event in `data`, which ends with an empty line; lines end with LF or CR LF.
 fn end_of_last_event(data: &[u8]) -> Option<usize> {
     (1..data.len()).rev().find_map(|i| {
--- a/router/src/http/body.rs
+++ b/router/src/http/body.rs
@@ -60,7 +60,8 @@
     }
 
     /// A reader of the body of a replica's response. A chunk is returned when it is complete and its line end follows, so
-    /// that no byte of a malformed chunk is relayed to the client.
+    /// that no byte of a malformed chunk is relayed to the client; see [`BodyReader::take_part_of_chunk`] for chunks that
+    /// take long.
     pub fn for_response(framing: BodyFraming, max_chunk_size: usize) -> BodyReader {
         let only_complete_chunks = framing == BodyFraming::Chunked;
         BodyReader { only_complete_chunks, ..BodyReader::new(framing, max_chunk_size as u64) }
@@ -98,6 +99,15 @@
         }
     }
 
+    /// Removes the first `size` bytes of the chunk that is being received from the front of `buffer`. `size` is less than
+    /// [`BodyReader::incomplete_chunk_size`], and that many bytes must have been received.
+    pub fn take_part_of_chunk(&mut self, size: usize, buffer: &mut BytesMut) -> Bytes {
+        if let BodyPosition::Data(left) = &mut self.position {
+            *left -= size as u64;
+        }
+        buffer.split_to(size).freeze()
+    }
+
     fn take_complete_chunk(
         &mut self,
         size: usize,
--- a/router/src/replica/relay.rs
+++ b/router/src/replica/relay.rs
@@ -1,6 +1,6 @@
 //! Relays the events of a response to the front, once an event has begun the answer.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use tallypin::api::Outcome;
@@ -18,6 +18,10 @@
 /// are copied from it.
 const CHUNK_MEMORY_FACTOR: usize = 3;
 
+/// Time for which the events of an incomplete chunk are held back. Most chunks are complete with the read that begins them; the
+/// events of one that a replica writes slowly must not wait for its end.
+const MAX_CHUNK_HOLD: Duration = Duration::from_millis(200);
+
 /// The result of relaying a response.
 pub(super) struct Relayed {
     /// The result of the attempt.
@@ -40,6 +44,8 @@
     buffered: BytesMut,
     /// The parsed form of the events in `buffered`.
     buffered_events: Vec<StreamEvent>,
+    /// Since when events of the chunk that is being received are held back; `None` if no chunk is incomplete.
+    chunk_held_since: Option<Instant>,
     /// The memory of a large event that is being received.
     memory: MemoryReservation,
     result: AttemptResult,
@@ -63,6 +69,7 @@
             events: EventSplitter::default(),
             buffered: BytesMut::new(),
             buffered_events: Vec::new(),
+            chunk_held_since: None,
             memory,
             result: AttemptResult { load_report, ..Outcome::ConnectionReset.into() },
             complete,
@@ -80,17 +87,8 @@
         loop {
             match self.body.next_part(&mut wire.read_buffer).map_err(|_| RelayStopped)? {
                 Some(BodyPart::Data(data)) => {
-                    let complete_events = self.events.push(&data);
-                    if data.len() > UNRESERVED_EVENT_SIZE {
-                        drop(data);
-                        wire.shrink_buffer();
-                    }
-                    if self.events.incomplete_size() > self.attempt.context.limits.max_event_size {
-                        return Err(RelayStopped);
-                    }
-                    if let Some(bytes) = complete_events {
-                        self.relay_events(bytes).await?;
-                    }
+                    self.chunk_held_since = None;
+                    self.relay_data(data, wire).await?;
                 }
                 Some(BodyPart::End) => {
                     let remainder = self.events.take_incomplete();
@@ -107,6 +105,10 @@
                     return Ok(());
                 }
                 None => {
+                    if let Some(data) = self.take_held_events(wire) {
+                        self.relay_data(data, wire).await?;
+                        continue;
+                    }
                     let chunk_size = self.body.incomplete_chunk_size().unwrap_or(0);
                     let buffered = self.events.incomplete_size() + self.buffered.len();
                     self.reserve_memory(buffered + chunk_size * CHUNK_MEMORY_FACTOR).await?;
@@ -116,6 +118,48 @@
         }
     }
 
+    /// Relays the complete events in `data`, which was taken from the buffer of `wire`.
+    async fn relay_data(&mut self, data: Bytes, wire: &mut BufferedConnection) -> Result<(), RelayStopped> {
+        let complete_events = self.events.push(&data);
+        if data.len() > UNRESERVED_EVENT_SIZE {
+            drop(data);
+            wire.shrink_buffer();
+        }
+        if self.events.incomplete_size() > self.attempt.context.limits.max_event_size {
+            return Err(RelayStopped);
+        }
+        match complete_events {
+            Some(bytes) => self.relay_events(bytes).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Takes the complete events of an incomplete chunk once they have been held back for long enough.
+    fn take_held_events(&mut self, wire: &mut BufferedConnection) -> Option<Bytes> {
+        self.body.incomplete_chunk_size()?;
+        let held_since = *self.chunk_held_since.get_or_insert_with(Instant::now);
+        if held_since.elapsed() < MAX_CHUNK_HOLD {
+            return None;
+        }
+        let size = self.size_of_held_events(wire);
+        if size == 0 {
+            return None;
+        }
+        self.chunk_held_since = Some(Instant::now());
+        Some(self.body.take_part_of_chunk(size, &mut wire.read_buffer))
+    }
+
+    /// Size of the complete events of an incomplete chunk in the buffer of `wire`, bytes.
+    fn size_of_held_events(&self, wire: &BufferedConnection) -> usize {
+        match (self.body.incomplete_chunk_size(), self.events.incomplete_size()) {
+            (Some(chunk_size), 0) => {
+                let received = &wire.read_buffer[..wire.read_buffer.len().min(chunk_size)];
+                dialect::size_of_well_formed_events(received).min(chunk_size.saturating_sub(1))
+            }
+            _ => 0,
+        }
+    }
+
     /// Reserves memory for an event of `size` bytes, unless it is small. Waits while slow clients hold the memory; the response
     /// stays unread meanwhile.
     async fn reserve_memory(&mut self, size: usize) -> Result<(), RelayStopped> {
@@ -145,20 +189,24 @@
         Ok(Some(std::mem::replace(&mut self.memory, empty)))
     }
 
-    /// Reads more of the response. Once the stream has begun, the silence timeout applies; before that, the core's first-token
-    /// timeout does.
+    /// Reads more of the response, or waits until events of an incomplete chunk have been held back for long enough. Once the
+    /// stream has begun, the silence timeout applies; before that, the core's first-token timeout does.
     async fn read_more(&self, wire: &mut BufferedConnection) -> Result<(), RelayStopped> {
-        let more = match self.attempt.streams {
-            true => {
-                let timeout_at = self.last_event_at + self.attempt.context.limits.stream_silence_timeout;
-                tokio::time::timeout_at(timeout_at.into(), wire.read_more())
-                    .await
-                    .map_err(|_| RelayStopped)?
-            }
-            false => wire.read_more().await,
+        let silence_timeout = self.attempt.context.limits.stream_silence_timeout;
+        let silent_at = self.attempt.streams.then(|| self.last_event_at + silence_timeout);
+        let held_until = match self.size_of_held_events(wire) {
+            0 => None,
+            _ => self.chunk_held_since.map(|since| since + MAX_CHUNK_HOLD),
+        };
+        let more = match silent_at.into_iter().chain(held_until).min() {
+            Some(wake_at) => tokio::time::timeout_at(wake_at.into(), wire.read_more()).await,
+            None => Ok(wire.read_more().await),
         };
         match more {
-            Ok(true) => Ok(()),
+            Ok(Ok(true)) => Ok(()),
+            Err(_) if held_until.is_some_and(|until| silent_at.is_none_or(|silent_at| until < silent_at)) => {
+                Ok(())
+            }
             _ => Err(RelayStopped),
         }
     }
--- a/router/tests/parsers.rs
+++ b/router/tests/parsers.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use tallypin_router::config::Config;
+use tallypin_router::dialect::size_of_well_formed_events;
 use tallypin_router::dialect::{parse_load_report, ConversationRequest, Dialect, EventSplitter, StreamEvent};
 use tallypin_router::endpoint_list::object_reader::{NotAnObject, ObjectReader};
 use tallypin_router::endpoint_list::EndpointListMessage;
@@ -398,3 +399,18 @@
         "blank lines that keep the watch alive are not buffered"
     );
 }
+
+#[test]
+fn only_complete_and_well_formed_events_count_in_an_incomplete_chunk() {
+    for (text, expected) in [
+        ("", ""),
+        ("data: a\n\n", "data: a\n\n"),
+        ("data: a\r\n\r\ndata: b", "data: a\r\n\r\n"),
+        ("event: x\ndata: a\n\n: comment\n\nid: 1\n", "event: x\ndata: a\n\n: comment\n\n"),
+        ("data: a\n\n\r\n1f\r\ndata: b\n\n", "data: a\n\n\r\n"),
+        ("data: a\n1f\n\n", ""),
+        ("\u{0}noise\n\n", ""),
+    ] {
+        assert_eq!(size_of_well_formed_events(text.as_bytes()), expected.len(), "{text:?}");
+    }
+}
