--- a/router/src/limits.rs
+++ b/router/src/limits.rs
@@ -152,7 +152,7 @@
     first_request_timeout: Duration::from_millis(2000),
     client_eviction_idle_time: Duration::from_millis(300),
     request_read_timeout: Duration::from_millis(2500),
-    max_remembered_requests: 1024,
+    max_remembered_requests: 16 << 10,
     max_immediate_retries: 8,
     immediate_retry_window: Duration::from_millis(20),
     immediate_retry_pause: Duration::from_millis(50),
--- a/router/tests/rough.rs
+++ b/router/tests/rough.rs
@@ -90,6 +90,31 @@
     });
 }
 
+/// Guards against an identifier that runs twice: its client left, and it came again behind the requests of others.
+#[test]
+fn the_id_of_a_client_that_left_is_not_served_again_behind_thousands_of_others() {
+    const OTHERS: usize = 5000;
+    run_test(async {
+        let replica = MockReplica::new(Chat).await;
+        replica.add_faults(&[ReplicaFault::NoAnswer]);
+        let router = TestRouter::new(Chat, &[&replica], |_| {}).await;
+        let request = platform_request("", "{}");
+        let mut leaving = Client::connect(router.addr).await;
+        leaving.send(&request).await;
+        wait_until(|| router.open_requests() == 1).await;
+        disconnect([leaving]);
+        wait_until(|| router.request_counts().client_disconnects == 1).await;
+        for number in 0..OTHERS {
+            let id = format!("other-{number}");
+            drop(router.components.request_ids.reserve(id.as_bytes()).expect("the identifier is new"));
+        }
+        let mut again = Client::connect(router.addr).await;
+        again.send(&request).await;
+        assert_eq!(again.read_answer().await.0, 409);
+        assert_eq!(replica.take_counts().1, 1, "the replica gets the identifier once");
+    });
+}
+
 /// Guards against bodies that are announced and never sent, which would use up the budget of other requests.
 #[test]
 fn a_body_counts_against_the_budget_as_it_arrives() {
