--- a/router/src/core/mod.rs
+++ b/router/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod request;
 mod shutdown;
 mod shutdown_admission;
+mod state;
 mod timers;
 
 use std::collections::VecDeque;
@@ -16,7 +17,6 @@
 pub use request::{AbortReason, AttemptResult, NewRequest};
 use rustc_hash::FxHashMap;
 use tallypin::api::*;
-use tallypin::replica_snapshot::ReplicaSnapshot;
 use tallypin::Balancer;
 
 use crate::operator_override::{OverriddenEndpointList, ReplicaRestoration};
@@ -185,16 +185,6 @@
         }
     }
 
-    /// Number of streams that began after more than half of the time to their deadline had passed.
-    pub fn late_streams(&self) -> u64 {
-        self.late_streams
-    }
-
-    /// The entries of the endpoint list as received, without operator overrides.
-    pub fn listed_replicas(&self) -> impl Iterator<Item = &EndpointEntry> {
-        self.endpoints.entries()
-    }
-
     /// Handles a message of another router: a load report or a drain notice.
     pub fn peer_message_received(&mut self, now: Nanos, from: PeerId, bytes: Vec<u8>) {
         self.handle(now, Event::PeerMessage { from, bytes });
@@ -252,16 +242,6 @@
         std::mem::take(&mut self.instructions)
     }
 
-    /// Counts of requests and attempts since the router started.
-    pub fn counts(&self) -> &RequestCounts {
-        &self.counts
-    }
-
-    /// Number of requests that have no final answer or still have attempts in flight.
-    pub fn open_requests(&self) -> usize {
-        self.requests.len()
-    }
-
     fn handle(&mut self, now: Nanos, event: Event) {
         self.events.push_back(event);
         self.process_events(now);
@@ -393,19 +373,4 @@
             TimerKind::Deadline(id) => requests.contains_key(id),
         });
     }
-
-    /// Whether requests may be sent by the known endpoint list at `now`; false if it may be outdated for too long.
-    pub fn may_send_by_list(&self, now: Nanos) -> bool {
-        self.balancer.may_send_by_list(now)
-    }
-
-    /// The decision module's view of the replicas that accept requests.
-    pub fn replica_snapshots(&self, now: Nanos) -> Vec<ReplicaSnapshot> {
-        self.balancer.replica_snapshots(now)
-    }
-
-    /// Number of scheduled timers, obsolete ones included.
-    pub fn scheduled_timers(&self) -> usize {
-        self.timers.len()
-    }
 }
--- a/simulator/src/world.rs
+++ b/simulator/src/world.rs
@@ -196,8 +196,7 @@
 const MAX_SUBMISSIONS: u32 = 4;
 /// Minimum delay of a client's retry, ns.
 const MIN_RETRY_DELAY: Time = SECOND / 20;
-/// Overload limit of a warming node, as the operators state it for their nodes: more work than this multiple of its capacity,
-/// sent by all routers together within this window in ns, makes the node fail.
+/// Overload limit of a warming node: work of all routers above this multiple of its capacity for this window in ns makes it fail.
 const WARM_UP_OVERLOAD: (f64, Time) = (2.5, 2 * SECOND);
 /// Time that routers have to stop sending to a node after the list reports its drain, ns.
 const DRAIN_REACTION_TIME: Time = SECOND / 2;
@@ -220,7 +219,7 @@
             can_probe: false,
             max_retry_after: 2 * SECOND,
             list_mode: EndpointListMode::Pushed,
-            drain_grace: SECOND / 2,
+            drain_grace: DRAIN_REACTION_TIME,
             report_fields: vec![],
             initial_capacity_share: plan.initial_speed_share,
             warm_up_time: plan.warm_up_time,
--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -83,8 +83,8 @@
         self.statistics.init_ready_replica_count(self.replicas.ready().len());
     }
 
-    /// Schedules the next poll after a failed poll or the end of a watch. The less time is left until the router counts as notified of the changes it has missed, the sooner it
-    /// polls.
+    /// Schedules the next poll after a failed poll or the end of a watch. The less time is left until the
+    /// router counts as notified of the changes it has missed, the sooner it polls.
     fn handle_list_failure(&mut self, now: Nanos, kind: ListUpdate, out: &mut Vec<Action>) {
         self.list_polling.record_list_failure(now, kind);
         if let EndpointListMode::Polled { .. } = self.settings.list_mode {
@@ -100,8 +100,8 @@
         self.schedule_drain_queries(now, out);
     }
 
-    /// Returns whether requests may be sent by the known list at `now`. Where peers report drains to each other, a
-    /// crowd at the list service keeps no drain from this router, and the list may always be used.
+    /// Returns whether requests may be sent by the known list at `now`. Where peers report drains to each
+    /// other, a crowd at the list service keeps no drain from this router, and the list may always be used.
     pub fn may_send_by_list(&self, now: Nanos) -> bool {
         let hears_notices = self.settings.has_peers && self.settings.router_count > 1;
         let is_polled = matches!(self.settings.list_mode, EndpointListMode::Polled { .. });
--- a/src/decisions/list_polling.rs
+++ b/src/decisions/list_polling.rs
@@ -19,8 +19,8 @@
     pub(super) is_watched: bool,
     /// Time from which changes may have been missed, while the list is not watched.
     stale_since: Nanos,
-    /// Time from which a change counts as notified after [`NOTIFICATION_LIMIT`], while the list is not watched: the list
-    /// was complete then, or the list service could not be reached.
+    /// While the list is not watched, changes since this time count as notified after [`NOTIFICATION_LIMIT`]:
+    /// the list was complete then, or the list service could not be reached.
     unnotified_since: Nanos,
     /// Whether the list service has answered a poll without the complete list since then.
     is_turned_away: bool,
@@ -65,9 +65,10 @@
         self.is_turned_away = false;
     }
 
-    /// Returns whether the known list may be used for a request that is sent now. It may not if a change of it could
-    /// count as notified for longer than `drain_grace`. A list service that cannot be reached notifies nobody, so
-    /// the list may be used for as long as that lasts; one that turns polls away is reached.
+    /// Returns whether the known list may be used for a request that is sent now. It may not if a change of
+    /// it could count as notified for longer than `drain_grace`. A list service that cannot be reached
+    /// notifies nobody, so the list may be used for as long as that lasts; one that turns polls away is
+    /// reached.
     pub(super) fn is_list_usable(&self, now: Nanos, drain_grace: Nanos) -> bool {
         let grace = drain_grace.saturating_sub(MAX_WRITE_DELAY);
         !self.is_turned_away || now < self.unnotified_since.saturating_add(NOTIFICATION_LIMIT + grace)
--- a/src/decisions/ranking.rs
+++ b/src/decisions/ranking.rs
@@ -50,8 +50,8 @@
 }
 
 impl Balancer {
-    /// Returns the best replica for the next attempt of a request; `None` if no ready replica is eligible, or the list
-    /// is too old to tell which are ready.
+    /// Returns the best replica for the next attempt of a request; `None` if no ready replica is eligible, or
+    /// the list is too old to tell which are ready.
     pub(super) fn select_replica(&mut self, now: Nanos, state: &RequestState) -> Option<Selection> {
         if self.replicas.ready().is_empty() || !self.may_send_by_list(now) {
             return None;
--- a/test-support/src/discovery_runs/mod.rs
+++ b/test-support/src/discovery_runs/mod.rs
@@ -4,6 +4,7 @@
 //!
 //! Discovery, the replicas and the clients run on one thread.
 
+mod configuration;
 mod discovery;
 mod routers;
 mod scenario;
