Free the head of a platform request before its answer is awaited

Cause: the platform's front dropped the parsed head, but kept the method, a slice of the same allocation, in the request until the answer was complete. The messages front drops both already. Change: the method is dropped with the head. Result: found by reading; no test of its own, the behaviour at the sockets is the same.

--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -111,9 +111,9 @@
         return reject(context, connection, Rejection::Full).await;
     }
     let same_dialect = context.replicas.dialect == Dialect::Chat;
-    let IncomingRequest { head, mut target, mut body, client: client_address, .. } = request;
+    let IncomingRequest { head, method, mut target, mut body, client: client_address, .. } = request;
     // Not needed any more, and the answer may take long.
-    drop(head);
+    drop((head, method));
     if !same_dialect {
         // The replicas speak the messages dialect: request and events are translated.
         let Ok(conversation) = ConversationRequest::parse_chat(&body.bytes) else {
