Withdraw the actions of a simulated router that a later event of the batch kills

Cause: the actions of each event were appended to the reply at once, and take effect only after the whole batch; a kill removed the instance and left them. Change: the reply knows which router wrote each of its parts, and where in it a router's instance ended; parts up to there are left out when it is sent. A birth ends the former instance too, as does one with invalid settings, which left the former one living. Errors reported with BROKEN are actions as well; standard error keeps them.

--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -275,6 +275,11 @@
     result.expect("writing to a string");
 }
 
+/// Appends the report of an error in the name of a router as a line. The text has no line breaks.
+pub fn write_broken(router: u32, text: &str, output: &mut String) {
+    writeln!(output, "BROKEN Who=gateway-{router} NoteText={text}").expect("writing to a string");
+}
+
 fn write_peer_message(router: u32, receiver: &str, bytes: &[u8], output: &mut String) -> std::fmt::Result {
     write!(output, "TELL Who=gateway-{router} To={receiver} Content=")?;
     if bytes.is_empty() {
--- a/simhost/tests/pipe.rs
+++ b/simhost/tests/pipe.rs
@@ -1,24 +1,9 @@
 //! Tests the simulator adapter as a process: its replies to batches, and its messages about malformed lines.
 #![allow(missing_docs)]
 
-use std::io::Write;
-use std::process::{Command, Output, Stdio};
-
-fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_tallypin-simhost"))
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the adapter starts");
-    child
-        .stdin
-        .take()
-        .expect("standard input is piped")
-        .write_all(input.as_bytes())
-        .expect("the adapter reads its input");
-    child.wait_with_output().expect("the adapter ends")
-}
+mod process;
+
+use process::run;
 
 const BORN: &str = r#"BORN Who=gateway-0 Nonce64=5 ProfileData={"Profiles": [{"GoalTimeNs": 1000000000, "Effect": "pure"}], "ReplicasOfMe": 1}"#;
 const LIST: &str =
@@ -59,3 +44,27 @@
     let text = String::from_utf8(run(input).stdout).unwrap();
     assert!(text.contains("BROKEN Who=gateway-0 NoteText=line 2: BORN: ProfileData: "), "{text}");
 }
+
+/// Guards against a former instance that goes on under its name: its actions, or events that it gets in place of the next one.
+#[test]
+fn a_birth_ends_the_former_instance_even_if_its_settings_are_invalid() {
+    let demand = "DEMAND Who=gateway-0 Ref=7 Kind=0 LeftNs=2000000000 NPrompt=10";
+    let born = format!("BATCH WallNs=5\n{BORN}\n{LIST}\nFLUSH\n");
+    let reborn = "BORN Who=gateway-0 Nonce64=6 ProfileData={}";
+    let input =
+        format!("{born}BATCH WallNs=9\n{demand}\n{reborn}\nFLUSH\nBATCH WallNs=13\n{demand}\nFLUSH\n");
+    let text = String::from_utf8(run(&input).stdout).unwrap();
+    let replies: Vec<&str> = text.split_terminator("END\n").collect();
+    assert!(replies[1].starts_with("BROKEN Who=gateway-0 ") && replies[1].lines().count() == 1, "{text}");
+    assert_eq!(replies[2], "", "no instance lives");
+}
+
+/// A report of an error is an action of its instance as well. The log keeps it.
+#[test]
+fn an_error_of_a_killed_instance_is_only_logged() {
+    let malformed = "DEMAND Who=gateway-0 Ref=7 Kind=0 LeftNs=soon";
+    let output = run(&format!("BATCH WallNs=5\n{BORN}\n{LIST}\n{malformed}\nKILLED Who=gateway-0\nFLUSH\n"));
+    assert_eq!(String::from_utf8(output.stdout).unwrap(), "END\n");
+    let log = String::from_utf8(output.stderr).unwrap();
+    assert!(log.contains("gateway-0: line 5: DEMAND: LeftNs: not a number"), "{log}");
+}
