Reject commands of a router's earlier incarnation that are carried out late

What operators saw (played with real processes, four routers, one of them killed and started again under its name and address): a router's request for the lease to drain was still on its way when the router was killed. It arrived after the restart and was granted to the killed process. The next one took the lease for a drain before its restart and reported that it serves: the operator's order was gone, and the router had never drained. Likewise an order to resume, given at the killed router and waiting at a member without a majority, ended a halt after the restart. Cause: a member kept the number of a router's last call for each of its two connections apart, so a new incarnation that was known by its heartbeats did not end the former one's commands. A command that waited was proposed whoever had submitted it. Change: a call of an incarnation before the latest known on either connection is rejected; a queued command of such a one is rejected when it would be applied. Of the late call, the window is the silence limit: members close idle connections.

--- a/router/src/fleet/agent.rs
+++ b/router/src/fleet/agent.rs
@@ -186,6 +186,7 @@
             local.clone(),
             control.clone(),
             council.clone(),
+            peers.clone(),
             state.clone(),
         ));
         let submitter = Rc::new(CommandSubmitter::new(
--- a/router/src/fleet/local_router.rs
+++ b/router/src/fleet/local_router.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use tallypin_consensus::fleet_state::RouterIncarnation;
 use tallypin_membership::{Incarnation, Nanos, RouterIndex};
 
 use super::wire::{Call, HeartbeatReport, Request, VERSION};
@@ -39,6 +40,11 @@
         self.incarnation
     }
 
+    /// Returns this router in its incarnation.
+    pub fn identity(&self) -> RouterIncarnation {
+        RouterIncarnation { router: self.index, incarnation: self.incarnation }
+    }
+
     /// Returns the time since the start, in ns.
     pub fn now(&self) -> Nanos {
         self.started.elapsed().as_nanos() as u64
--- a/router/src/fleet/peer_table.rs
+++ b/router/src/fleet/peer_table.rs
@@ -1,5 +1,5 @@
 //! State of the other routers as received here: heartbeats and reports, and the numbers of the last calls, by which
-//! replayed calls are rejected.
+//! replayed calls and those of earlier incarnations are rejected.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,7 +16,7 @@
 /// Maximum number of routers that are listed by index as users of a drained replica; further ones are only counted.
 const MAX_LISTED_ROUTERS: usize = 8;
 
-/// A call from an unknown router, or one that is not newer than an earlier call.
+/// A call from an unknown router or an earlier incarnation, or one that is not newer than an earlier call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the call is from an unknown router or is not newer than an earlier call")]
 pub struct RejectedCall;
@@ -35,6 +35,12 @@
     last_other: CallNumber,
 }
 
+impl LastCalls {
+    fn latest_incarnation(&self) -> Incarnation {
+        self.last_submit.incarnation.max(self.last_other.incarnation)
+    }
+}
+
 /// The last report of a router, with the incarnation that sent it.
 #[derive(Debug, Clone)]
 struct PeerReport {
@@ -64,13 +70,18 @@
     ///
     /// # Errors
     ///
-    /// The caller is not a router of the fleet, or the call is not newer than its last one.
+    /// The caller is not a router of the fleet, is an earlier incarnation than the latest, or the call is not newer than its
+    /// last one.
     pub fn accept_call(&self, call: &Call) -> Result<(), RejectedCall> {
         if matches!(call.request, Request::Incarnation) {
             return Ok(());
         }
         let mut last_calls = self.last_calls.borrow_mut();
         let last = last_calls.get_mut(usize::from(call.from)).ok_or(RejectedCall)?;
+        // On the other connection, the router may have called since it restarted.
+        if call.incarnation < last.latest_incarnation() {
+            return Err(RejectedCall);
+        }
         let last = match call.request {
             Request::Submit(_) => &mut last.last_submit,
             _ => &mut last.last_other,
@@ -86,8 +97,7 @@
     /// Returns the latest incarnation in the calls of a router; 0 if no call was received.
     pub fn latest_incarnation(&self, router: RouterIndex) -> Incarnation {
         let last_calls = self.last_calls.borrow();
-        let last = last_calls.get(usize::from(router)).copied().unwrap_or_default();
-        last.last_submit.incarnation.max(last.last_other.incarnation)
+        last_calls.get(usize::from(router)).map_or(0, LastCalls::latest_incarnation)
     }
 
     /// Records a heartbeat and its report.
--- a/router/src/fleet/peer_table/tests.rs
+++ b/router/src/fleet/peer_table/tests.rs
@@ -28,14 +28,26 @@
     assert_eq!(table.accept_call(&heartbeat(7, 2)), Err(RejectedCall), "overtaken");
 }
 
+fn submit(incarnation: Incarnation, sequence: u64) -> Call {
+    call(incarnation, sequence, Request::Submit(tallypin_consensus::fleet_state::Command::Read))
+}
+
 #[test]
 fn a_command_may_be_overtaken_by_other_calls() {
     let table = table();
-    let submit =
-        |sequence| call(7, sequence, Request::Submit(tallypin_consensus::fleet_state::Command::Read));
     assert_eq!(table.accept_call(&heartbeat(7, 5)), Ok(()));
-    assert_eq!(table.accept_call(&submit(4)), Ok(()));
-    assert_eq!(table.accept_call(&submit(4)), Err(RejectedCall));
+    assert_eq!(table.accept_call(&submit(7, 4)), Ok(()));
+    assert_eq!(table.accept_call(&submit(7, 4)), Err(RejectedCall));
+}
+
+/// A router's commands and its other calls have a connection each.
+#[test]
+fn a_call_of_a_later_incarnation_on_either_connection_ends_the_earlier_one() {
+    let table = table();
+    assert_eq!(table.accept_call(&heartbeat(8, 1)), Ok(()));
+    assert_eq!(table.accept_call(&submit(7, 9)), Err(RejectedCall));
+    assert_eq!(table.accept_call(&submit(9, 1)), Ok(()));
+    assert_eq!(table.accept_call(&heartbeat(8, 2)), Err(RejectedCall));
 }
 
 #[test]
--- a/router/src/fleet/proposer.rs
+++ b/router/src/fleet/proposer.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tallypin_consensus::fleet_state::{Command, CouncilView, FleetState, Rejection};
+use tallypin_consensus::fleet_state::{Command, CouncilView, FleetState, Rejection, RouterIncarnation};
 use tallypin_consensus::register::{AcceptorReply, Ballot, Proposal, Proposer, RoundStep};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, timeout_at};
@@ -15,6 +15,7 @@
 use super::council::{Council, CouncilAnswer, MemberAnswer};
 use super::known_state::KnownState;
 use super::local_router::LocalRouter;
+use super::peer_table::PeerTable;
 use super::settings::FleetSettings;
 use super::unix_ms;
 use super::wire::CommandOutcome;
@@ -28,8 +29,14 @@
 /// Maximum number of queued commands: a few from every router of the largest fleet.
 const MAX_QUEUED_COMMANDS: usize = 4096;
 
-struct QueuedCommand {
+/// A command and the router that submitted it.
+struct SubmittedCommand {
     command: Command,
+    submitter: RouterIncarnation,
+}
+
+struct QueuedCommand {
+    submitted: SubmittedCommand,
     outcome: oneshot::Sender<CommandOutcome>,
 }
 
@@ -39,6 +46,7 @@
     local: Rc<LocalRouter>,
     control: Rc<dyn RouterControl>,
     council: Rc<Council>,
+    peers: Rc<PeerTable>,
     state: Rc<KnownState>,
     queue: RefCell<Vec<QueuedCommand>>,
     queued: Notify,
@@ -52,6 +60,7 @@
         local: Rc<LocalRouter>,
         control: Rc<dyn RouterControl>,
         council: Rc<Council>,
+        peers: Rc<PeerTable>,
         state: Rc<KnownState>,
     ) -> CommandProposer {
         CommandProposer {
@@ -59,6 +68,7 @@
             local,
             control,
             council,
+            peers,
             state,
             queue: RefCell::default(),
             queued: Notify::new(),
@@ -68,12 +78,13 @@
 
     /// Queues a command for the next round and waits for its outcome; `None` if this router is not a member, the queue is
     /// full, or no round completed in time.
-    pub async fn enqueue(&self, command: Command) -> Option<CommandOutcome> {
+    pub async fn enqueue(&self, submitter: RouterIncarnation, command: Command) -> Option<CommandOutcome> {
         if !self.council.is_member() || self.queue.borrow().len() >= MAX_QUEUED_COMMANDS {
             return None;
         }
         let (outcome, receiver) = oneshot::channel();
-        self.queue.borrow_mut().push(QueuedCommand { command, outcome });
+        let submitted = SubmittedCommand { command, submitter };
+        self.queue.borrow_mut().push(QueuedCommand { submitted, outcome });
         self.queued.notify_one();
         receiver.await.ok()
     }
@@ -88,7 +99,7 @@
                     break;
                 }
                 let (commands, outcomes): (Vec<_>, Vec<_>) =
-                    batch.into_iter().map(|queued| (queued.command, queued.outcome)).unzip();
+                    batch.into_iter().map(|queued| (queued.submitted, queued.outcome)).unzip();
                 // Without a result the senders are dropped, and the callers of `enqueue` receive `None`.
                 if let Some(results) = self.propose(&commands).await {
                     for (outcome, result) in outcomes.into_iter().zip(results) {
@@ -104,16 +115,16 @@
         // Drops commands whose submitter no longer waits for the outcome.
         queue.retain(|queued| !queued.outcome.is_closed());
         // Operator orders come first, so that a halt does not wait for the commands it is meant to stop.
-        queue.sort_by_key(|queued| !queued.command.is_operator_order());
+        queue.sort_by_key(|queued| !queued.submitted.command.is_operator_order());
         let count = queue.len().min(MAX_BATCH_COMMANDS);
         queue.drain(..count).collect()
     }
 
     /// Runs rounds until one is not superseded; `None` if none completed within the order timeout.
-    async fn propose(&self, commands: &[Command]) -> Option<Vec<CommandOutcome>> {
+    async fn propose(&self, commands: &[SubmittedCommand]) -> Option<Vec<CommandOutcome>> {
         let deadline = (Instant::now() + self.settings.order_timeout).into();
         let mut backoff = INITIAL_BACKOFF;
-        let joining = commands.iter().filter_map(|command| match command {
+        let joining = commands.iter().filter_map(|submitted| match &submitted.command {
             Command::JoinCouncil(member) => Some(*member),
             _ => None,
         });
@@ -134,7 +145,7 @@
     async fn run_round(
         &self,
         mut round: Proposer<FleetState>,
-        commands: &[Command],
+        commands: &[SubmittedCommand],
     ) -> Option<Vec<CommandOutcome>> {
         let mut view = self.empty_view(commands);
         let mut results: Vec<Result<(), Rejection>> = vec![];
@@ -165,9 +176,10 @@
         None
     }
 
-    fn empty_view(&self, commands: &[Command]) -> CouncilView {
-        let needs_list =
-            |command: &Command| matches!(command, Command::DrainReplicas { .. } | Command::AdvanceReplica(_));
+    fn empty_view(&self, commands: &[SubmittedCommand]) -> CouncilView {
+        let needs_list = |submitted: &SubmittedCommand| {
+            matches!(submitted.command, Command::DrainReplicas { .. } | Command::AdvanceReplica(_))
+        };
         CouncilView {
             majority: self.council.majority(),
             replicas: commands.iter().any(needs_list).then(|| self.control.replica_views()).flatten(),
@@ -191,17 +203,26 @@
     fn apply_commands(
         &self,
         mut state: FleetState,
-        commands: &[Command],
+        commands: &[SubmittedCommand],
         view: &CouncilView,
     ) -> AppliedCommands {
         let mut results = vec![];
-        for command in commands {
-            let applied = state.apply(command, &self.settings.limits, view);
+        for submitted in commands {
+            let applied = match self.is_latest_incarnation(submitted.submitter) {
+                true => state.apply(&submitted.command, &self.settings.limits, view),
+                false => Err(Rejection::NothingToChange),
+            };
             results.push(applied.map(|new| state = new));
         }
         AppliedCommands { state, results }
     }
 
+    /// Returns false if the router has restarted since it submitted a command. The command, which may have waited for a
+    /// majority, would act for the new incarnation.
+    fn is_latest_incarnation(&self, submitter: RouterIncarnation) -> bool {
+        submitter.incarnation >= self.peers.latest_incarnation(submitter.router)
+    }
+
     /// Returns a ballot above all known ballots.
     pub fn next_ballot(&self) -> Ballot {
         let own = Ballot { number: 0, proposer: self.local.index(), incarnation: self.local.incarnation() };
--- a/router/src/fleet/server.rs
+++ b/router/src/fleet/server.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tallypin_consensus::fleet_state::RouterIncarnation;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
@@ -39,7 +40,7 @@
     /// A call has an unknown message version.
     #[error("the call has an unknown message version")]
     UnknownVersion,
-    /// A call is from an unknown router, or is a replay.
+    /// A call is from an unknown router or an earlier incarnation, or is a replay.
     #[error("{0}")]
     RejectedCall(#[from] RejectedCall),
     /// The peer sent no call within the silence limit: its process has ended, or it uses another connection.
@@ -177,7 +178,10 @@
                 Ok(Answer { response: Response::Acceptor(reply, out_of_service), remaining_uses })
             }
             // Waits until a round completes. Calls on other connections are served meanwhile.
-            Request::Submit(command) => Ok(Response::Submitted(self.proposer.enqueue(command).await).into()),
+            Request::Submit(command) => {
+                let submitter = RouterIncarnation { router: from, incarnation };
+                Ok(Response::Submitted(self.proposer.enqueue(submitter, command).await).into())
+            }
             Request::Incarnation => Ok(Response::Incarnation(self.peers.latest_incarnation(from)).into()),
         }
     }
--- a/router/src/fleet/submission.rs
+++ b/router/src/fleet/submission.rs
@@ -103,7 +103,7 @@
 
     async fn submit_to(&self, member: usize, command: &Command) -> Option<CommandOutcome> {
         let Some(connection) = &self.connections[member] else {
-            return self.proposer.enqueue(command.clone()).await;
+            return self.proposer.enqueue(self.local.identity(), command.clone()).await;
         };
         let call = self.local.next_call(Request::Submit(command.clone()), None);
         // Dropping either branch is safe: a started call continues in the task of its connection, and
--- a/router/tests/fleet/main.rs
+++ b/router/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod failed_releases;
 #[path = "../fleet_processes/mod.rs"]
 mod fleet_processes;
+mod killed_routers;
 mod messages;
 mod network_faults;
 mod release_setup;
--- a/router/tests/fleet_processes/mod.rs
+++ b/router/tests/fleet_processes/mod.rs
@@ -23,7 +23,9 @@
 const FLEET_KEY: &str = "the key of this fleet of tests\n";
 
 /// Settings of the heartbeats and leases of a small fleet, shorter than the defaults.
-const FAST_TIMINGS: &str = "beat 100ms\n silent 1500ms\n lease 1500ms\n answer 400ms\n within 4s";
+const FAST_TIMINGS: &str = "beat 100ms\n lease 1500ms\n answer 400ms\n within 4s";
+/// Silence limit of a small fleet whose limits state none.
+const FAST_SILENCE_LIMIT: &str = "\n silent 1500ms";
 /// Settings that allow one router to be out of service at a time.
 pub const ONE_OUT: &str = " out-most 1\n out-zone 1";
 /// Settings that allow three routers to be out of service at a time, two of them in one zone.
@@ -135,11 +137,13 @@
     let dir = router.dir.display();
     // A large fleet has the default timings.
     let timings = if routers.len() > SMALL_FLEET_ROUTERS { "" } else { FAST_TIMINGS };
+    let silence_limit =
+        if timings.is_empty() || limits.contains(" silent ") { "" } else { FAST_SILENCE_LIMIT };
     let mut text = format!(
         "log {{\n level warn\n target fleet debug\n}}\n\
          checks {{\n agent {{\n listen {}\n}}\n}}\ncontrol {{\n socket {dir}/ctl\n}}\n\
          drain {{\n least 1ms\n settle 1ms\n parting 1ms\n unknown-interval 1ms\n intervals 1\n}}\n\
-         fleet {{\n name test\n me r{own}\n key {dir}/key\n {timings}\n{limits}\n\
+         fleet {{\n name test\n me r{own}\n key {dir}/key\n {timings}{silence_limit}\n{limits}\n\
          store {dir}/stored\n release settings {dir}/t.conf {dir}/store\n \
          release configuration {dir}/config.json {dir}/store\n council",
         router.agent_addr,
@@ -362,6 +366,11 @@
         std::fs::read_to_string(self.routers[r].dir.join("log")).unwrap()
     }
 
+    /// Returns the relay on the link from a router to a council member.
+    pub fn relay(&self, from: usize, to: usize) -> &Relay {
+        self.relays[from][to].as_ref().expect("the link has a relay")
+    }
+
     /// Sets the links between two groups of routers, in both directions.
     pub fn set_links(&self, one: &[usize], other: &[usize], link: Link) {
         let pairs = one.iter().flat_map(|&a| other.iter().flat_map(move |&b| [(a, b), (b, a)]));
