Share the set-ups that stood twice in the tests of slow replicas and of the core

Change: router_with_a_request and core_that_shuts_down; what other tests use as well (a begun request, a content event, reading up to a text) is in common.

--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -269,6 +269,14 @@
         }
     }
 
+    /// Reads until `text` has been received. Panics if the connection ends before it.
+    pub async fn read_until(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.buf).contains(text) {
+            let received = String::from_utf8_lossy(&self.buf).into_owned();
+            assert!(self.read_more().await, "the connection ended before {text}: {received}");
+        }
+    }
+
     /// Reads an answer. Returns its status, head and body, and whether it is complete; the status is 0 if the connection ended
     /// before the head.
     pub async fn read_answer(&mut self) -> (u16, String, String, bool) {
@@ -479,6 +487,11 @@
     }
 }
 
+/// Returns an event of an answer with this content.
+pub fn content_event(content: &str) -> String {
+    format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{content}\"}},\"finish_reason\":null}}]}}\n\n")
+}
+
 /// Starts a router with one replica whose connections the test accepts and serves itself.
 pub async fn router_with_manual_replica(limits: impl FnOnce(&mut Limits)) -> (TestRouter, TcpListener) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -494,6 +507,14 @@
     connection
 }
 
+/// Sends a request to a router with a manual replica. Returns the client and the replica's connection, which has read it.
+pub async fn begin_request(router: &TestRouter, listener: &TcpListener, fields: &str) -> (Client, Client) {
+    let mut client = Client::connect(router.addr).await;
+    client.send(&platform_request(fields, "{}")).await;
+    let replica = accept_request(listener).await;
+    (client, replica)
+}
+
 /// Returns a text as one chunk of the chunked transfer coding.
 pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -79,19 +79,24 @@
     started.map(|deadline| deadline - now)
 }
 
-/// Guards against a stream that the end of the process cuts: the first token has to come while the answer can still end. The
-/// pace is that of the streams that the core has seen.
-#[test]
-fn during_a_shutdown_the_deadline_leaves_time_for_the_answer() {
+/// Returns a core that has seen a stream of 20 ms a token and shuts down within 2 s, and the time.
+fn core_that_shuts_down() -> (Core, Nanos) {
     let mut core = core(1);
     let id = core.accept(START, request(SECOND));
     assert!(core.first_event(START + 10 * MS, id, 0));
-    // 100 tokens in 2 s: 20 ms a token.
     let stream_end = AttemptResult { answer_tokens: Some(100), ..Outcome::Completed.into() };
     core.attempt_ended(START + 2010 * MS, id, 0, stream_end);
     core.take_instructions();
     let now = START + 3 * SECOND;
     core.require_answers_to_end_by(now + 2 * SECOND);
+    (core, now)
+}
+
+/// Guards against a stream that the end of the process cuts: the first token has to come while the answer can still end. The
+/// pace is that of the streams that the core has seen.
+#[test]
+fn during_a_shutdown_the_deadline_leaves_time_for_the_answer() {
+    let (mut core, now) = core_that_shuts_down();
     let limited = |max_tokens| NewRequest { max_answer_tokens: Some(max_tokens), ..request(4 * SECOND) };
     assert_eq!(deadline_of_attempt(&mut core, now, limited(20)), Some(1600 * MS));
     assert_eq!(deadline_of_attempt(&mut core, now, limited(75)), Some(500 * MS));
@@ -108,14 +113,7 @@
 /// it should be complete.
 #[test]
 fn an_answer_that_is_held_back_fails_unless_it_is_complete_in_time() {
-    let mut core = core(1);
-    let id = core.accept(START, request(SECOND));
-    assert!(core.first_event(START + 10 * MS, id, 0));
-    let stream_end = AttemptResult { answer_tokens: Some(100), ..Outcome::Completed.into() };
-    core.attempt_ended(START + 2010 * MS, id, 0, stream_end);
-    core.take_instructions();
-    let now = START + 3 * SECOND;
-    core.require_answers_to_end_by(now + 2 * SECOND);
+    let (mut core, now) = core_that_shuts_down();
     for (time_left, fails_after) in [(4 * SECOND, 2 * SECOND), (SECOND, SECOND)] {
         let id = core.accept(now, NewRequest { max_answer_tokens: Some(20), ..request(time_left) });
         let started = core.take_instructions();
--- a/router/tests/slow_replicas.rs
+++ b/router/tests/slow_replicas.rs
@@ -12,17 +12,12 @@
 /// Time within which an event that a replica has written must reach the client.
 const MAX_EVENT_DELAY: Duration = Duration::from_millis(300);
 
-fn event(text: &str) -> String {
-    format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":null}}]}}\n\n")
-}
-
-/// Reads until the client has received `text`, or the connection ends.
-async fn read_until(client: &mut Client, text: &str) {
-    while !String::from_utf8_lossy(&client.buf).contains(text) {
-        if client.stream.read_buf(&mut client.buf).await.unwrap() == 0 {
-            panic!("the connection ended before {text}: {}", String::from_utf8_lossy(&client.buf));
-        }
-    }
+/// Starts a router that gives up silent streams early, and a request to it. Returns the client and the replica's connection.
+async fn router_with_a_request() -> (TestRouter, Client, Client) {
+    let (router, listener) =
+        router_with_manual_replica(|limits| limits.stream_silence_timeout = 600 * MS).await;
+    let (client, replica) = begin_request(&router, &listener, "").await;
+    (router, client, replica)
 }
 
 /// Guards against a long answer that is cut off although its replica is still writing: a chunk was passed on only when it was
@@ -30,12 +25,8 @@
 #[test]
 fn events_of_a_chunk_that_is_written_slowly_are_passed_on_before_its_end() {
     run_test(async {
-        let (router, listener) =
-            router_with_manual_replica(|limits| limits.stream_silence_timeout = 600 * MS).await;
-        let mut client = Client::connect(router.addr).await;
-        client.send(&platform_request("", "{}")).await;
-        let mut replica = accept_request(&listener).await;
-        let events: Vec<String> = (0..4).map(|number| event(&format!("text-{number}"))).collect();
+        let (_router, mut client, mut replica) = router_with_a_request().await;
+        let events: Vec<String> = (0..4).map(|number| content_event(&format!("text-{number}"))).collect();
         let end = "data: [DONE]\n\n";
         let size = events.iter().map(String::len).sum::<usize>() + end.len();
         replica.send(&format!("{STREAM_HEAD}{size:x}\r\n")).await;
@@ -46,7 +37,7 @@
             tokio::time::sleep(50 * MS).await;
             replica.send(rest).await;
             let text = format!("text-{number}");
-            let received = tokio::time::timeout(MAX_EVENT_DELAY, read_until(&mut client, &text)).await;
+            let received = tokio::time::timeout(MAX_EVENT_DELAY, client.read_until(&text)).await;
             received.expect("the event is passed on");
             tokio::time::sleep(300 * MS).await;
         }
@@ -60,14 +51,10 @@
 #[test]
 fn framing_that_follows_in_a_chunk_of_a_wrong_size_is_not_passed_on() {
     run_test(async {
-        let (router, listener) =
-            router_with_manual_replica(|limits| limits.stream_silence_timeout = 600 * MS).await;
-        let mut client = Client::connect(router.addr).await;
-        client.send(&platform_request("", "{}")).await;
-        let mut replica = accept_request(&listener).await;
-        let (first, second) = (event("first"), event("second"));
+        let (_router, mut client, mut replica) = router_with_a_request().await;
+        let (first, second) = (content_event("first"), content_event("second"));
         // The first chunk is as long as said; the second one is said to be too long.
-        let spoilt = format!("400\r\n{second}\r\n{}0\r\n\r\n", chunk(&event("third")));
+        let spoilt = format!("400\r\n{second}\r\n{}0\r\n\r\n", chunk(&content_event("third")));
         replica.send(&format!("{STREAM_HEAD}{}{spoilt}", chunk(&first))).await;
         client.stream.read_to_end(&mut client.buf).await.unwrap();
         let received = String::from_utf8_lossy(&client.buf).into_owned();
