Look up the real functions of the fault libraries once, not in each call

The preloaded library called dlsym in each call, which takes a lock. The program's signal handler wrote to its socket through the library, and waited for the lock that the function it had interrupted held: the router hung in the library. Shown by the stacks of three routers under SIGHUPs at intervals of 1 ms: all three hung, after some 2,790 signals, in dlsym below the handler, above dlsym. What was ruled out: load (harness delay 5 ms), and the router itself, which had read a change of the list 23 ms before. Change: both libraries find the functions when they are loaded.

--- a/test-support/shim/faults.c
+++ b/test-support/shim/faults.c
@@ -12,7 +12,6 @@
  * The library logs each pause on standard error, in nanoseconds of the monotonic clock, and at exit the numbers of failed
  * calls, partial transfers and pauses. */
 #define _GNU_SOURCE
-#include <dlfcn.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <stdatomic.h>
@@ -24,8 +23,12 @@
 #include <sys/uio.h>
 #include <time.h>
 
+#include "real_functions.h"
+
 #define DESCRIPTORS 65536
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+#define FUNCTIONS(each) \
+    each(accept4) each(clock_gettime) each(connect) each(epoll_wait) each(recv) each(send) each(socket) each(writev)
+REAL_FUNCTIONS(FUNCTIONS)
 
 static uint64_t state;
 static unsigned failures, shorts, shorts_most, holds;
--- a/test-support/shim/files.c
+++ b/test-support/shim/files.c
@@ -7,7 +7,6 @@
  *   half          the process is killed after half of a write, or after a call that is no write
  * At exit the library prints the number of counted calls on standard error. */
 #define _GNU_SOURCE
-#include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -19,8 +18,11 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "real_functions.h"
+
 #define DESCRIPTORS 4096
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+#define FUNCTIONS(each) each(fsync) each(open64) each(rename) each(symlink) each(unlink) each(write)
+REAL_FUNCTIONS(FUNCTIONS)
 
 static const char *folder;
 static const char *what = "none";
--- a/test-support/src/fault_injection.rs
+++ b/test-support/src/fault_injection.rs
@@ -6,6 +6,9 @@
 use std::process::Command;
 use std::time::Duration;
 
+/// Header that the sources of all libraries include, and its name.
+const HEADER: (&str, &str) = ("real_functions.h", include_str!("../shim/real_functions.h"));
+
 /// A fault injection library.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Library {
@@ -34,6 +37,7 @@
     pub fn compile(self, dir: &Path) -> io::Result<PathBuf> {
         let (source, library) =
             (dir.join(format!("{}.c", self.name())), dir.join(format!("{}.so", self.name())));
+        std::fs::write(dir.join(HEADER.0), HEADER.1)?;
         std::fs::write(&source, self.source())?;
         let mut compiler = Command::new("cc");
         compiler.args(["-shared", "-fPIC", "-O2", "-o"]).arg(&library).arg(&source).arg("-ldl");
--- a/test-support/tests/shim.rs
+++ b/test-support/tests/shim.rs
@@ -1,10 +1,12 @@
-//! Tests that the socket fault library is deterministic: the same seeds and calls give the same faults.
+//! Tests that the socket fault library is deterministic: the same seeds and calls give the same faults; and that signal
+//! handlers may call its functions.
 #![allow(missing_docs)]
 
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 use tallypin_test_support::fault_injection::Library;
 
@@ -49,3 +51,31 @@
     assert_eq!(first, injected_faults(&library, "1"));
     assert_ne!(first, injected_faults(&library, "2"));
 }
+
+/// Time after which a program that waits for itself is killed.
+const PROGRAM_TIME_LIMIT: Duration = Duration::from_secs(10);
+
+/// Guards against a program that hangs in the library: a handler that wrote to a socket waited for a lock which the function
+/// that it had interrupted held. A router hung so at SIGTERM, with seed 202 of the runs with transfers of one byte.
+#[test]
+fn signal_handlers_may_interrupt_the_functions_of_the_library_and_call_them() {
+    let dir = tempfile::tempdir().unwrap();
+    let library = Library::Sockets.compile(dir.path()).expect("a C compiler");
+    let (source, program) = (dir.path().join("interrupted.c"), dir.path().join("interrupted"));
+    std::fs::write(&source, include_str!("interrupted.c")).unwrap();
+    let compiled = Command::new("cc").arg("-o").arg(&program).arg(&source).status().expect("a C compiler");
+    assert!(compiled.success());
+    let mut child = Command::new(&program).env("LD_PRELOAD", library).spawn().expect("the program starts");
+    let started = Instant::now();
+    let status = loop {
+        match child.try_wait().unwrap() {
+            None if started.elapsed() < PROGRAM_TIME_LIMIT => std::thread::sleep(Duration::from_millis(5)),
+            status => break status,
+        }
+    };
+    if status.is_none() {
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+    assert!(status.is_some_and(|status| status.success()), "{status:?} within {PROGRAM_TIME_LIMIT:?}");
+}
