Write no second response later than the stand-in's scenario says, and show it in histories

The router reuses a connection after 20 ms. Change: a stand-in that is late beyond 10 ms leaves the second response out. What the router has to keep is the same.

--- a/test-support/src/shutdown_runs/replica.rs
+++ b/test-support/src/shutdown_runs/replica.rs
@@ -8,12 +8,15 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 use super::scenario::ReplicaBehaviour;
 use super::Run;
 use crate::http_connection::HttpConnection;
 
+/// Maximum delay of a second response, which the operators state as some milliseconds.
+const MAX_SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(10);
+
 /// The outcome of an attempt at a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplicaOutcome {
@@ -50,6 +53,8 @@
     pub ended_at: Option<Duration>,
     /// Outcome of the attempt.
     pub outcome: ReplicaOutcome,
+    /// When the unsolicited second response was written.
+    pub second_response_at: Option<Duration>,
 }
 
 impl ReplicaAttempt {
@@ -90,6 +95,7 @@
             response_begun_at: None,
             ended_at: None,
             outcome: ReplicaOutcome::InFlight,
+            second_response_at: None,
         });
         let complete = connection.skip_body(&head).await.is_ok();
         if complete {
@@ -116,12 +122,17 @@
             return;
         }
         if behaviour == ReplicaBehaviour::SecondResponse {
+            let ended = Instant::now();
             sleep(Duration::from_millis(rng.u64(1..10))).await;
+            if ended.elapsed() > MAX_SECOND_RESPONSE_DELAY {
+                continue; // This process was late: the response would come later than any replica sends one.
+            }
             // The connection stays open: the next request on it is served, but its reader takes this response for
             // its own.
             if connection.write(DECLINED_RESPONSE).await.is_err() {
                 return;
             }
+            run.attempts.borrow_mut()[index].second_response_at = Some(run.now());
         }
     }
 }
--- a/test-support/src/shutdown_runs/rules.rs
+++ b/test-support/src/shutdown_runs/rules.rs
@@ -26,6 +26,8 @@
 const REPEAT_WINDOW_MARGIN: Duration = Duration::from_millis(150);
 /// Amount by which the deadline sent to a replica may exceed the client's remaining time.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(150);
+/// Time before an attempt from which the history of a request names second responses of its replica.
+const SECOND_RESPONSE_HISTORY: Duration = Duration::from_millis(50);
 /// Requests sent later than this after SIGTERM have to be answered before SIGKILL.
 pub(super) const ANSWER_REQUIRED_AFTER: Duration = Duration::from_millis(700);
 
@@ -307,6 +309,14 @@
                 r.outcome
             ));
         }
+        // A late one may have been taken for the response to an attempt of this request.
+        for r in self.second_responses_before(request) {
+            let (ended_at, second_at) = (at_or_dash(r.ended_at), at_or_dash(r.second_response_at));
+            lines.push(format!(
+                " replica {}: second response to {} at {second_at}, {ended_at} the first",
+                r.replica, r.id
+            ));
+        }
         lines.push(format!(" killed {}", at_or_dash(self.killed_at)));
         let pause = |pause: &Pause| format!(" paused from {} to {}", at(pause.from), at(pause.to));
         lines.extend(self.pauses.iter().map(pause));
@@ -322,6 +332,21 @@
         lines.join("\n")
     }
 
+    /// Returns the attempts whose second response their replica wrote shortly before an attempt of a request, or during it.
+    fn second_responses_before<'b>(
+        &'b self,
+        request: &'b Request,
+    ) -> impl Iterator<Item = &'b ReplicaAttempt> {
+        let precedes = |second_at: Duration, attempt: &ReplicaAttempt| {
+            let ended_at = attempt.ended_at.unwrap_or(Duration::MAX);
+            (attempt.head_at.saturating_sub(SECOND_RESPONSE_HISTORY)..=ended_at).contains(&second_at)
+        };
+        self.attempts.iter().filter(move |r| {
+            let mut of_same_replica = request.attempts.iter().filter(|attempt| attempt.replica == r.replica);
+            r.second_response_at.is_some_and(|at| of_same_replica.any(|attempt| precedes(at, attempt)))
+        })
+    }
+
     /// Returns the lines of the router's log about a request, found by its id or by the number that the router
     /// gave it.
     fn log_lines_about(&self, id: &str) -> Vec<String> {
