--- a/simhost/src/instances.rs
+++ b/simhost/src/instances.rs
@@ -11,13 +11,13 @@
 use crate::input_lines::InputLines;
 use crate::wire::{self, Fields, MalformedLine, ReplicaNames};
 
-/// One life of a simulated router, from its birth until it is killed: its balancer and the names of its replicas.
+/// One incarnation of a simulated router, from its birth until it is killed: its balancer and the names of its replicas.
 struct Instance {
     balancer: Balancer,
     names: ReplicaNames,
 }
 
-/// The living instances, and the reply to the current batch.
+/// The running instances, and the reply to the current batch.
 #[derive(Default)]
 pub struct Instances {
     now: Nanos,
--- a/simhost/tests/killed_instances.rs
+++ b/simhost/tests/killed_instances.rs
@@ -33,7 +33,7 @@
 /// Draws batches for routers that are killed and born at random.
 struct Scenario {
     rng: Rng,
-    living: [Option<InstanceNumber>; ROUTERS],
+    running: [Option<InstanceNumber>; ROUTERS],
     instances: usize,
     requests: u64,
     batches: Vec<Batch>,
@@ -43,7 +43,7 @@
     fn draw(seed: u64) -> Scenario {
         let mut scenario = Scenario {
             rng: Rng::with_seed(seed),
-            living: [None; ROUTERS],
+            running: [None; ROUTERS],
             instances: 0,
             requests: 0,
             batches: vec![],
@@ -62,10 +62,10 @@
         let lines = match self.rng.u32(..100) {
             0..6 => return self.kill(router),
             6..8 => return self.start(router),
-            8..20 if self.living[router].is_none() => return self.start(router),
+            8..20 if self.running[router].is_none() => return self.start(router),
             kind => self.draw_lines(kind, router),
         };
-        self.push(self.living[router], lines);
+        self.push(self.running[router], lines);
     }
 
     fn push(&mut self, instance: Option<InstanceNumber>, lines: String) {
@@ -73,7 +73,7 @@
     }
 
     fn end(&mut self, router: usize) {
-        self.batches.last_mut().unwrap().ended.extend(self.living[router].take());
+        self.batches.last_mut().unwrap().ended.extend(self.running[router].take());
     }
 
     fn kill(&mut self, router: usize) {
@@ -83,12 +83,12 @@
 
     fn start(&mut self, router: usize) {
         self.end(router);
-        self.living[router] = Some(self.instances);
+        self.running[router] = Some(self.instances);
         self.instances += 1;
         let (seed, settings) = (self.rng.u32(..), settings(router));
         let list = list_lines(router, 2, "Status=1");
         let born = format!("BORN Who=gateway-{router} Nonce64={seed} ProfileData={settings}\n{list}");
-        self.push(self.living[router], born);
+        self.push(self.running[router], born);
     }
 
     fn draw_lines(&mut self, kind: u32, router: usize) -> String {
--- a/simhost/tests/pipe.rs
+++ b/simhost/tests/pipe.rs
@@ -56,7 +56,7 @@
     let text = String::from_utf8(run(&input).stdout).unwrap();
     let replies: Vec<&str> = text.split_terminator("END\n").collect();
     assert!(replies[1].starts_with("BROKEN Who=gateway-0 ") && replies[1].lines().count() == 1, "{text}");
-    assert_eq!(replies[2], "", "no instance lives");
+    assert_eq!(replies[2], "", "no instance runs");
 }
 
 /// A report of an error is an action of its instance as well. The log keeps it.
